Ended exchanges that wait for a target which was replaced

Cause: when a primary froze or was cut off, the writes in flight there waited for its answer until the fault was over. All writers hung, although another primary served within half a second.

Ruled out: a bound on each statement. One that spares long statements is far longer than a change of primary. What is known instead: the target gives no answer to status requests, and a later term has a primary. A pool may open one connection beyond its limit for status, so busy connections don't look like silence, and a refusal for too many connections counts as an answer.

Also found: the stand-in's replica stayed in a pull from its frozen primary for a second after it was told to follow another, which a real one does not.

Sockets now open from the instance's own address, so that a fault proxy can part instances of one machine.

--- a/comfreystair/callers/cancels.py
+++ b/comfreystair/callers/cancels.py
@@ -6,6 +6,7 @@
 
 import xxhash
 
+from comfreystair.dialing import Dial
 from comfreystair.filters.session import SessionState
 
 _SECRET_BYTES: Final = 4
@@ -22,9 +23,10 @@
     may bring a cancel request to another one.
     """
 
-    def __init__(self, instance: str) -> None:
+    def __init__(self, instance: str, dial: Dial) -> None:
         """Start without sessions."""
         self._prefix = hash_instance(instance)
+        self._dial = dial
         self._counter = itertools.count(1)
         self._sessions: dict[tuple[int, bytes], SessionState] = {}
 
@@ -42,7 +44,7 @@
 
     def is_own(self, process_id: int) -> bool:
         """Tell whether a process id was given out by this daemon."""
-        return process_id >> _COUNTER_BITS == self._prefix
+        return names_instance(process_id, self._prefix)
 
     async def cancel(self, process_id: int, secret_key: bytes) -> bool:
         """Cancel what a session runs; tell whether it was found."""
@@ -50,10 +52,15 @@
         if session is None:
             return False
         if session.running is not None:
-            await session.running.cancel(_CANCEL_SECONDS)
+            await session.running.cancel(self._dial, _CANCEL_SECONDS)
         return True
 
 
+def names_instance(process_id: int, prefix: int) -> bool:
+    """Tell whether a process id has a daemon's prefix."""
+    return process_id >> _COUNTER_BITS == prefix
+
+
 def hash_instance(instance: str) -> int:
     """Return the half of a process id that names a daemon."""
     return xxhash.xxh3_64_intdigest(instance.encode()) & _INSTANCE_MASK
--- a/comfreystair/conf/schema.py
+++ b/comfreystair/conf/schema.py
@@ -89,9 +89,12 @@
     """Messages between daemons.
 
     :param secret: shared by all daemons; calls without its code are refused.
+    :param advertised: ``host:port`` that other daemons shall use, by default
+        the instance's address and the port.
     """
 
     port: int
+    advertised: str = ''
     secret: str = ''
     host: str = '127.0.0.1'
     call_seconds: float = defaults.PEERS_CALL_SECONDS
--- a/comfreystair/controllers/groups.py
+++ b/comfreystair/controllers/groups.py
@@ -84,6 +84,7 @@
         self._candidate = candidate
         self._rank = 0
         self._seen: dict[str, Observation] = {}
+        self._alive_at: dict[str, float] = {}
         self._views: dict[str, tuple[bool, float]] = {}
         self._primary: Primary | None = None
         self._trouble_since: float | None = None
@@ -132,6 +133,17 @@
             self._seen[target] = Observation(status, asked_at)
             self._choose_primary()
 
+    def see_alive(self, target: str, at: float) -> None:
+        """Take in that a target answered, if only to refuse."""
+        self._alive_at[target] = at
+
+    def is_silent(self, target: str, now: float, seconds: float) -> bool:
+        """Tell whether a target gave no answer for so long."""
+        seen = self._seen.get(target)
+        asked_at = seen.asked_at if seen else float('-inf')
+        heard_at = max(asked_at, self._alive_at.get(target, asked_at))
+        return now - heard_at > seconds
+
     def see_view(self, peer: str, is_reached: bool, at: float) -> None:
         """Take in whether another daemon reaches the primary."""
         self._views[peer] = (is_reached, at)
@@ -157,7 +169,7 @@
     def reaches_primary(self, now: float) -> bool:
         """Tell whether the primary answered this daemon lately."""
         primary = self._primary
-        return primary is not None and not self._is_silent(
+        return primary is not None and not self.is_silent(
             primary.target, now, self._settings.suspect_seconds
         )
 
@@ -192,16 +204,12 @@
             address = self._members[name].address
             self._primary = Primary(name, address, term)
 
-    def _is_silent(self, target: str, now: float, seconds: float) -> bool:
-        seen = self._seen.get(target)
-        return seen is None or now - seen.asked_at > seconds
-
     def _list_fresh(self, now: float) -> dict[str, TargetStatus]:
         limit = self._settings.suspect_seconds
         return {
             name: seen.status
             for name, seen in self._seen.items()
-            if not self._is_silent(name, now, limit)
+            if now - seen.asked_at <= limit
         }
 
     def _has_trouble(self, now: float) -> bool:
@@ -215,7 +223,7 @@
             return self._has_successor(fresh)
         if self._is_fenced_apart(primary, fresh):
             return self._lasts(primary, now)
-        if not self._is_silent(
+        if not self.is_silent(
             primary.target, now, self._settings.suspect_seconds
         ):
             return False
@@ -252,7 +260,7 @@
         ]
         if all(status.heard_seconds > limit for status in others):
             return True
-        is_long = self._is_silent(
+        is_long = self.is_silent(
             primary.target, now, self._settings.isolated_seconds
         )
         return is_long and self._is_lost_to_most(now)
--- a/comfreystair/daemon.py
+++ b/comfreystair/daemon.py
@@ -11,7 +11,11 @@
 from curio import socket, ssl
 from loguru import logger
 
-from comfreystair.callers.cancels import CancelKeys
+from comfreystair.callers.cancels import (
+    CancelKeys,
+    hash_instance,
+    names_instance,
+)
 from comfreystair.callers.server import CallerServer
 from comfreystair.callers.sessions import SessionContext
 from comfreystair.callers.startup import LoginContext
@@ -24,6 +28,7 @@
     rank_members,
 )
 from comfreystair.controllers.shares import ShareController
+from comfreystair.dialing import build_dialer
 from comfreystair.filters.admission import Admission
 from comfreystair.filters.chain import build_chain
 from comfreystair.filters.parts import Parts
@@ -63,13 +68,16 @@
         own = Contact(
             instance.name,
             instance.zone,
-            f'{instance.address}:{settings.peers.port}',
+            settings.peers.advertised
+            or f'{instance.address}:{settings.peers.port}',
             f'{instance.name}-{incarnation}',
         )
+        dial = build_dialer(instance.address)
+        self._dial = dial
         platform = settings.platform
         statsd = settings.statsd
         self._store = Store(
-            platform.store, platform.prefix, platform.call_seconds
+            dial, platform.store, platform.prefix, platform.call_seconds
         )
         self._metrics = Metrics(statsd.host, statsd.port, statsd.prefix)
         self._tracer = Tracer(
@@ -80,7 +88,7 @@
         self._membership = MembershipController(own)
         self._shares = ShareController(own.incarnation)
         self._peers = PeerClients(
-            settings.peers.call_seconds, settings.peers.secret
+            dial, settings.peers.call_seconds, settings.peers.secret
         )
         self._follower = ManifestFollower(
             self._generations,
@@ -103,6 +111,7 @@
                 self._admission.list_surplus,
             ),
             self._peers,
+            dial,
             settings.peers,
             platform,
         )
@@ -117,7 +126,7 @@
         self._slot_keeper = SlotKeeper(
             self._membership, self._scheduler, self._holder, self._peers
         )
-        self._cancel_keys = CancelKeys(instance.name)
+        self._cancel_keys = CancelKeys(instance.name, dial)
         self._callers = self._build_callers()
         self._inquiries = Inquiries(
             self._membership,
@@ -265,6 +274,7 @@
             database,
             self._settings.targets,
             self._membership.own.incarnation,
+            self._dial,
         )
         self._groups[database.name] = group
         self._group_tasks[database.name] = await curio.spawn(
@@ -306,7 +316,7 @@
             process_id=process_id, secret_key=secret_key
         )
         for contact in self._membership.list_peers():
-            if CancelKeys(contact.name).is_own(process_id):
+            if names_instance(process_id, hash_instance(contact.name)):
                 try:
                     await self._peers.call(
                         contact.address, 'cancel', request, definitions.Empty
--- a/comfreystair/filters/execute.py
+++ b/comfreystair/filters/execute.py
@@ -9,7 +9,7 @@
 from comfreystair.filters.parts import Parts
 from comfreystair.filters.request import Handler, Request
 from comfreystair.filters.session import Pinned
-from comfreystair.targets.connection import Answer, TargetConnection
+from comfreystair.targets.connection import Answer, TargetConnection, Use
 from comfreystair.targets.exceptions import TargetLostError
 from comfreystair.targets.plans import Plan, build_plan
 from comfreystair.wire.answers import (
@@ -45,7 +45,10 @@
     pinned = request.session.pinned
     if pinned is not None:
         return pinned.connection
-    return await request.placement.pool.acquire()
+    connection = await request.placement.pool.acquire()
+    is_repeatable = request.route is not None and request.route.is_repeatable
+    connection.use = Use(request.placement.term, is_repeatable)
+    return connection
 
 
 async def _run(
@@ -63,7 +66,7 @@
                 sink=request.sink if request.is_read else None,
             )
     except curio.TaskTimeout as error:
-        await connection.cancel(_CANCEL_SECONDS)
+        await connection.cancel(request.placement.pool.dial, _CANCEL_SECONDS)
         raise _explain_loss(request, 'no answer in time') from error
     except TargetLostError as error:
         raise _explain_loss(request, str(error)) from error
--- a/comfreystair/fleet/gossip.py
+++ b/comfreystair/fleet/gossip.py
@@ -12,6 +12,7 @@
 from comfreystair.controllers.generations import GenerationController
 from comfreystair.controllers.membership import Contact, MembershipController
 from comfreystair.controllers.shares import ShareController
+from comfreystair.dialing import Dial
 from comfreystair.fleet.follower import ManifestFollower
 from comfreystair.manifest.chunks import Root
 from comfreystair.peers import PeerClients, PeerError, PeerRefusedError
@@ -44,12 +45,14 @@
         self,
         knowledge: Knowledge,
         peers: PeerClients,
+        dial: Dial,
         settings: PeersSection,
         platform: PlatformSection,
     ) -> None:
         """Take the parts; nothing is sent before the loops run."""
         self._knowledge = knowledge
         self._peers = peers
+        self._dial = dial
         self._settings = settings
         self._platform = platform
         self._random = random.Random(knowledge.membership.own.incarnation)
@@ -80,7 +83,9 @@
         while True:
             try:
                 listed = await list_instances(
-                    self._platform.instances, self._platform.call_seconds
+                    self._dial,
+                    self._platform.instances,
+                    self._platform.call_seconds,
                 )
             except PlatformError as error:
                 logger.debug('event=list_failed error="{}"', error)
--- a/comfreystair/management/asking.py
+++ b/comfreystair/management/asking.py
@@ -3,6 +3,7 @@
 import curio
 import msgspec
 
+from comfreystair.dialing import build_dialer
 from comfreystair.fleet.inquiries import STATUS
 from comfreystair.management.exceptions import CommandError
 from comfreystair.peers import PeerClients, PeerError
@@ -32,7 +33,7 @@
 
     :returns: documents by address; the error text of those that failed.
     """
-    clients = PeerClients(seconds, secret)
+    clients = PeerClients(build_dialer(''), seconds, secret)
     try:
         first = await ask_daemon(clients, address, STATUS)
         peers = first.get('peers', []) if isinstance(first, dict) else []
--- a/comfreystair/management/commands/manifest_ship.py
+++ b/comfreystair/management/commands/manifest_ship.py
@@ -7,6 +7,7 @@
 import curio
 from result import Err
 
+from comfreystair.dialing import build_dialer
 from comfreystair.management.commands.manifest_diff import print_changes
 from comfreystair.management.exceptions import CommandError
 from comfreystair.management.files import read_manifest
@@ -61,7 +62,7 @@
     if has_errors(findings):
         print_findings(findings, is_json)
         sys.exit(EXIT_FAILED)
-    client = Store(store, prefix, seconds)
+    client = Store(build_dialer(''), store, prefix, seconds)
     operator = shipped_by or getpass.getuser()
     try:
         outcome = curio.run(ship_manifest, client, manifest, expect, operator)
--- a/comfreystair/peers/client.py
+++ b/comfreystair/peers/client.py
@@ -5,6 +5,7 @@
 import curio
 from curio import socket
 
+from comfreystair.dialing import Dial
 from comfreystair.peers import messages
 from comfreystair.peers.exceptions import PeerError, PeerRefusedError
 from comfreystair.peers.messages import definitions
@@ -13,12 +14,13 @@
 class PeerClients:
     """Connections to other daemons by address, opened when first used."""
 
-    def __init__(self, seconds: float, secret: str) -> None:
+    def __init__(self, dial: Dial, seconds: float, secret: str) -> None:
         """Start without connections.
 
         :param seconds: bound on each call.
         :param secret: shared by the daemons of a deployment.
         """
+        self._dial = dial
         self._seconds = seconds
         self._secret = secret
         self._channels: dict[str, _Channel] = {}
@@ -65,7 +67,7 @@
     async def _find_channel(self, address: str) -> '_Channel':
         channel = self._channels.get(address)
         if channel is None or channel.is_closed:
-            channel = await _open_channel(address)
+            channel = await _open_channel(self._dial, address)
             self._channels[address] = channel
         return channel
 
@@ -156,15 +158,7 @@
         await self.event.set()
 
 
-async def _open_channel(address: str) -> _Channel:
-    host, _, port = address.rpartition(':')
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    try:
-        await sock.connect((host, int(port)))
-    except BaseException:
-        await sock.close()
-        raise
-    channel = _Channel(sock, address)
+async def _open_channel(dial: Dial, address: str) -> _Channel:
+    channel = _Channel(await dial(address), address)
     await curio.spawn(channel.read_replies, daemon=True)
     return channel
--- a/comfreystair/platform/http.py
+++ b/comfreystair/platform/http.py
@@ -8,6 +8,7 @@
 import h11
 from curio import socket
 
+from comfreystair.dialing import Dial
 from comfreystair.platform.exceptions import PlatformError
 
 _READ_BYTES: Final = 65536
@@ -15,7 +16,7 @@
 
 
 async def post_json(
-    address: str, path: str, body: object, seconds: float
+    dial: Dial, address: str, path: str, body: object, seconds: float
 ) -> dict:
     """Send a request and decode the whole answer.
 
@@ -24,7 +25,7 @@
     """
     try:
         async with curio.timeout_after(seconds):
-            return await _post(address, path, body)
+            return await _post(dial, address, path, body)
     except curio.TaskTimeout as error:
         raise PlatformError('no answer in time', path, address) from error
     except (OSError, h11.ProtocolError, ValueError) as error:
@@ -32,14 +33,14 @@
 
 
 async def stream_json(
-    address: str, path: str, body: object
+    dial: Dial, address: str, path: str, body: object
 ) -> AsyncIterator[dict]:
     """Send a request and yield each line of an endless answer.
 
     :raises PlatformError: when the connection ends.
     """
     try:
-        sock = await _connect(address)
+        sock = await dial(address)
         async with sock:
             http = await _send(sock, address, path, body)
             buffer = b''
@@ -52,26 +53,14 @@
     raise PlatformError('stream ended', path, address)
 
 
-async def _post(address: str, path: str, body: object) -> dict:
-    sock = await _connect(address)
+async def _post(dial: Dial, address: str, path: str, body: object) -> dict:
+    sock = await dial(address)
     async with sock:
         http = await _send(sock, address, path, body)
         content = b''.join([chunk async for chunk in _read_body(sock, http)])
     return json.loads(content)
 
 
-async def _connect(address: str) -> socket.socket:
-    host, _, port = address.rpartition(':')
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    try:
-        await sock.connect((host, int(port)))
-    except BaseException:
-        await sock.close()
-        raise
-    return sock
-
-
 async def _send(
     sock: socket.socket, address: str, path: str, body: object
 ) -> h11.Connection:
--- a/comfreystair/platform/instances.py
+++ b/comfreystair/platform/instances.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from comfreystair.dialing import Dial
 from comfreystair.platform.exceptions import PlatformError
 from comfreystair.platform.http import post_json
 
@@ -29,12 +30,14 @@
     state: InstanceState = 'live'
 
 
-async def list_instances(address: str, seconds: float) -> list[Instance]:
+async def list_instances(
+    dial: Dial, address: str, seconds: float
+) -> list[Instance]:
     """Read the list.
 
     :raises PlatformError: when the platform does not answer.
     """
-    answer = await post_json(address, '/instances', {}, seconds)
+    answer = await post_json(dial, address, '/instances', {}, seconds)
     try:
         listed = msgspec.convert(answer['instances'], list[_Listed])
     except (msgspec.ValidationError, KeyError) as error:
--- a/comfreystair/platform/store.py
+++ b/comfreystair/platform/store.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator
 from typing import NamedTuple
 
+from comfreystair.dialing import Dial
 from comfreystair.platform.http import post_json, stream_json
 
 
@@ -25,12 +26,15 @@
     lost after the change. Callers resolve that by reading back.
     """
 
-    def __init__(self, address: str, prefix: str, seconds: float) -> None:
+    def __init__(
+        self, dial: Dial, address: str, prefix: str, seconds: float
+    ) -> None:
         """Remember where the store is.
 
         :param prefix: put before every key.
         :param seconds: bound on each call.
         """
+        self._dial = dial
         self._address = address
         self._prefix = prefix
         self._seconds = seconds
@@ -93,7 +97,7 @@
             'start_revision': str(start_revision),
         }
         lines = stream_json(
-            self._address, '/v3/watch', {'create_request': create}
+            self._dial, self._address, '/v3/watch', {'create_request': create}
         )
         async for line in lines:
             for event in line['result'].get('events', ()):
@@ -105,4 +109,6 @@
         return base64.b64encode(f'{self._prefix}{key}'.encode()).decode()
 
     async def _call(self, path: str, body: object) -> dict:
-        return await post_json(self._address, path, body, self._seconds)
+        return await post_json(
+            self._dial, self._address, path, body, self._seconds
+        )
--- a/comfreystair/targets/connection.py
+++ b/comfreystair/targets/connection.py
@@ -10,8 +10,10 @@
 from scramp import ScramClient, ScramException
 
 from comfreystair.controllers.positions import TargetStatus
+from comfreystair.dialing import Dial
 from comfreystair.targets import status as commands
 from comfreystair.targets.exceptions import (
+    TargetBusyError,
     TargetConnectError,
     TargetLostError,
 )
@@ -29,11 +31,23 @@
 _COPY_FAIL: Final = messages.CopyFail(
     error_message='COPY is not supported'
 ).to_wire()
+_TOO_MANY: Final = '53300'
 _MECHANISM: Final = 'SCRAM-SHA-256'
 
 Sink = Callable[[bytes], Awaitable[None]]
 
 
+class Use(NamedTuple):
+    """What a lent connection is used for.
+
+    :param term: of the primary that the request was placed at, 0 for reads.
+    :param is_repeatable: the request may run again elsewhere.
+    """
+
+    term: int = 0
+    is_repeatable: bool = False
+
+
 class Answer(NamedTuple):
     """The whole answer to a batch.
 
@@ -65,7 +79,19 @@
         self._buffer = buffer
         self._cancel_key = cancel_key
         self._is_broken = False
+        self._is_aborted = False
         self._prepared: dict[str, None] = {}
+        self._use = Use()
+
+    @property
+    def use(self) -> Use:
+        """Return what the connection is lent for."""
+        return self._use
+
+    @use.setter
+    def use(self, use: Use) -> None:
+        """Set what the connection is lent for."""
+        self._use = use
 
     @property
     def address(self) -> str:
@@ -115,7 +141,8 @@
             raise TargetLostError(
                 str(error), 'exchange', self._address
             ) from error
-        self._is_broken = False
+        # An abort in the meantime leaves it broken for good.
+        self._is_broken = self._is_aborted
         return answer
 
     async def command(self, sql: str) -> tuple[bool, TargetStatus]:
@@ -136,20 +163,30 @@
             ) from error
         if decoded is None:
             raise TargetLostError('no status', 'command', self._address)
-        self._is_broken = False
+        self._is_broken = self._is_aborted
         return decoded
 
-    async def cancel(self, seconds: float) -> None:
+    async def cancel(self, dial: Dial, seconds: float) -> None:
         """Ask the target to cancel what runs here; it may come too late."""
         process_id, secret_key = self._cancel_key
         request = messages.CancelRequest(
             process_id=process_id, secret_key=secret_key
         )
         async with curio.ignore_after(seconds):
-            sock = await _open_socket(self._address)
+            sock = await dial(self._address)
             async with sock:
                 await sock.sendall(request.to_wire())
 
+    async def abort(self) -> None:
+        """End an exchange that waits for a target that does not answer."""
+        self._is_aborted = True
+        self._is_broken = True
+        try:
+            await self._sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            # The target closed it first; the exchange ends all the same.
+            return
+
     async def close(self) -> None:
         """Close the socket."""
         self._is_broken = True
@@ -221,14 +258,14 @@
 
 
 async def open_connection(
-    address: str, user: str, password: str, database: str
+    dial: Dial, address: str, user: str, password: str, database: str
 ) -> TargetConnection:
     """Connect, authenticate, and wait until the target is ready.
 
     :raises TargetConnectError: nothing of any caller was sent.
     """
     try:
-        sock = await _open_socket(address)
+        sock = await dial(address)
     except OSError as error:
         raise TargetConnectError(str(error), 'connect', address) from error
     try:
@@ -241,18 +278,6 @@
         raise
 
 
-async def _open_socket(address: str) -> socket.socket:
-    host, _, port = address.rpartition(':')
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    try:
-        await sock.connect((host, int(port)))
-    except BaseException:
-        await sock.close()
-        raise
-    return sock
-
-
 async def _start(
     sock: socket.socket,
     address: str,
@@ -287,6 +312,8 @@
 ) -> messages.PGMessage | None:
     if isinstance(message, messages.ErrorResponse):
         fields = message.fields
+        if fields.get('C') == _TOO_MANY:
+            raise TargetBusyError(fields.get('M', ''), 'startup')
         raise ConnectionRefusedError(
             f'{fields.get("C", "")} {fields.get("M", "")}'
         )
--- a/comfreystair/targets/groups.py
+++ b/comfreystair/targets/groups.py
@@ -2,6 +2,7 @@
 
 import random
 import time
+from collections.abc import Callable
 from typing import Final
 
 import curio
@@ -15,9 +16,12 @@
     groups,
 )
 from comfreystair.controllers.positions import Position, TargetStatus
+from comfreystair.dialing import Dial
 from comfreystair.exceptions import ComfreystairError
 from comfreystair.manifest.schema import Database, Target
 from comfreystair.targets import status as commands
+from comfreystair.targets.connection import Use
+from comfreystair.targets.exceptions import TargetBusyError
 from comfreystair.targets.pool import Pool
 from comfreystair.targets.waiters import Waiters
 
@@ -33,11 +37,16 @@
     """
 
     def __init__(
-        self, database: Database, settings: TargetsSection, candidate: str
+        self,
+        database: Database,
+        settings: TargetsSection,
+        candidate: str,
+        dial: Dial,
     ) -> None:
         """Build the pools; nothing is connected before :meth:`run`."""
         self._name = database.name
         self._settings = settings
+        self._dial = dial
         self._random = random.Random(f'{candidate}/{database.name}')
         self._pools: dict[str, Pool] = {}
         self._controller = groups.GroupController(
@@ -109,9 +118,8 @@
 
     def is_answering(self, target: str, now: float) -> bool:
         """Tell whether a target answered lately."""
-        seen = self._controller.observations.get(target)
         limit = self._settings.suspect_seconds
-        return seen is not None and now - seen.asked_at <= limit
+        return not self._controller.is_silent(target, now, limit)
 
     async def wait_commit(
         self, commit: Position, seconds: float
@@ -183,7 +191,7 @@
         self._database = database
         for target in database.targets:
             if target.name not in self._pools:
-                pool = Pool(target, database.name, self._settings)
+                pool = Pool(target, database.name, self._settings, self._dial)
                 pool.set_share(self._instances)
                 self._pools[target.name] = pool
                 self._urgent[target.name] = curio.Event()
@@ -204,8 +212,32 @@
             )
             for effect in effects:
                 await curio.spawn(self._carry_out, effect, daemon=True)
+            await self._abort_hopeless()
             await curio.sleep(_TICK_SECONDS)
 
+    async def _abort_hopeless(self) -> None:
+        """End what waits for targets that gave no answer for too long."""
+        now = time.monotonic()
+        settings = self._settings
+        primary = self._controller.primary
+        term = primary.term if primary else 0
+        for name in self._controller.observations:
+            if self.is_answering(name, now):
+                continue
+            is_lost = self._controller.is_silent(
+                name, now, settings.isolated_seconds
+            )
+            aborted = await self._pools[name].abort(
+                _build_abort_rule(term, is_lost=is_lost)
+            )
+            if aborted:
+                logger.info(
+                    'event=aborted database={} target={} exchanges={}',
+                    self._name,
+                    name,
+                    aborted,
+                )
+
     async def _keep_observers(self) -> None:
         for name in list(self._observers):
             if name not in self._pools:
@@ -244,6 +276,8 @@
             logger.debug(
                 'event=status_failed target={} error="{}"', name, error
             )
+            if isinstance(error, TargetBusyError):
+                self._controller.see_alive(name, time.monotonic())
             await curio.sleep(_RETRY_SECONDS)
             return
         await self.see_status(name, status, asked_at)
@@ -298,6 +332,13 @@
         await self.see_status(effect.target, status, asked_at)
 
 
+def _build_abort_rule(term: int, *, is_lost: bool) -> Callable[[Use], bool]:
+    def is_hopeless(use: Use) -> bool:
+        return is_lost or use.is_repeatable or 0 < use.term < term
+
+    return is_hopeless
+
+
 def _build_sql(effect: groups.Effect) -> str:
     if isinstance(effect, campaigns.Fence):
         return commands.fence_sql(effect.term, effect.candidate)
--- a/comfreystair/targets/pool.py
+++ b/comfreystair/targets/pool.py
@@ -1,15 +1,18 @@
 """Connections of this daemon to one target, bounded and warmed."""
 
 import collections
+from collections.abc import Callable
 from typing import Final
 
 import curio
 from loguru import logger
 
 from comfreystair.conf.schema import TargetsSection
+from comfreystair.dialing import Dial
 from comfreystair.manifest.schema import Target
 from comfreystair.targets.connection import (
     TargetConnection,
+    Use,
     open_connection,
 )
 from comfreystair.targets.exceptions import (
@@ -24,13 +27,19 @@
     """Hand out connections to one target, one holder at a time."""
 
     def __init__(
-        self, target: Target, database: str, settings: TargetsSection
+        self,
+        target: Target,
+        database: str,
+        settings: TargetsSection,
+        dial: Dial,
     ) -> None:
         """Start without connections."""
         self._target = target
         self._database = database
         self._settings = settings
+        self._dial = dial
         self._idle: collections.deque[TargetConnection] = collections.deque()
+        self._lent: set[TargetConnection] = set()
         self._opened = 0
         self._limit = _MIN_CONNECTIONS
         self._waiters: collections.deque[curio.Event] = collections.deque()
@@ -41,6 +50,11 @@
         """Return how many connections are open or being opened."""
         return self._opened
 
+    @property
+    def dial(self) -> Dial:
+        """Return how connections to the target are opened."""
+        return self._dial
+
     @property
     def target(self) -> Target:
         """Return the target."""
@@ -60,14 +74,18 @@
         """
         while not self._is_closed:
             if self._idle:
-                return self._idle.pop()
-            if self._opened < self._limit:
-                return await self._open()
+                return self._lend(self._idle.pop())
+            # One more than the limit, so that the state of a target is known
+            # while all its connections are busy.
+            if self._opened < self._limit + is_urgent:
+                return self._lend(await self._open())
             await self._wait(is_urgent)
         raise PoolClosedError('pool is closed', 'pool', self._target.name)
 
     async def release(self, connection: TargetConnection) -> None:
         """Take a connection back, or close it when it can't be reused."""
+        self._lent.discard(connection)
+        connection.use = Use()
         has_room = self._opened <= self._limit and not self._is_closed
         is_full = len(connection.prepared) > self._settings.max_prepared
         if connection.is_broken or is_full or not has_room:
@@ -94,6 +112,13 @@
         while self._waiters:
             await self._wake()
 
+    async def abort(self, is_hopeless: Callable[[Use], bool]) -> int:
+        """End exchanges by their use; return how many."""
+        hopeless = [one for one in self._lent if is_hopeless(one.use)]
+        for connection in hopeless:
+            await connection.abort()
+        return len(hopeless)
+
     async def drop_idle(self) -> None:
         """Close idle connections, after the target was lost."""
         while self._idle:
@@ -101,6 +126,10 @@
             await self._idle.pop().close()
         await self._wake()
 
+    def _lend(self, connection: TargetConnection) -> TargetConnection:
+        self._lent.add(connection)
+        return connection
+
     async def _open(self) -> TargetConnection:
         self._opened += 1
         is_open = False
@@ -108,6 +137,7 @@
         try:
             async with curio.timeout_after(settings.connect_seconds):
                 connection = await open_connection(
+                    self._dial,
                     self._target.address,
                     settings.user,
                     settings.password,
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -14,6 +14,7 @@
 from comfreystair.callers.keys import make_verifier
 
 READY_SECONDS = 20
+TARGETS = 3
 SECRET = 'peer-secret'
 TABLES = (
     'CREATE TABLE permits (id INTEGER PRIMARY KEY, holder TEXT, '
@@ -67,33 +68,47 @@
 class Cluster:
     """Processes of one deployment, by name."""
 
-    def __init__(self, shape: Shape, directory: pathlib.Path) -> None:
-        """Choose ports and keys; nothing starts before :meth:`start`."""
+    def __init__(
+        self, shape: Shape, directory: pathlib.Path, has_proxy: bool = False
+    ) -> None:
+        """Choose ports and keys; nothing starts before :meth:`start`.
+
+        :param has_proxy: put the fault proxy before targets, daemons' peer
+            ports and the store.
+        """
         self.shape = shape
         self.directory = directory
         directory.mkdir(parents=True, exist_ok=True)
         self.processes: dict[str, subprocess.Popen] = {}
         self.commands: dict[str, list[str]] = {}
         self.keys = {name: f'key-of-{name}' for name in shape.organisations}
-        ports = iter(
-            find_ports(1 + 2 * shape.daemons + 2 * len(shape.databases) * 3)
-        )
-        self.store = f'127.0.0.1:{next(ports)}'
-        self.targets = {
-            f'{database}-{index}': next(ports)
+        targets = [
+            f'{database}-{index}'
             for database in shape.databases
-            for index in range(3)
-        }
-        self.daemons = {
-            f'daemon-{index}': (next(ports), next(ports))
-            for index in range(shape.daemons)
+            for index in range(TARGETS)
+        ]
+        names = [f'daemon-{index}' for index in range(shape.daemons)]
+        ports = iter(find_ports(3 + 3 * shape.daemons + 2 * len(targets)))
+        self.store = f'127.0.0.1:{next(ports)}'
+        self.control = next(ports)
+        self.targets = {name: next(ports) for name in targets}
+        self.daemons = {name: (next(ports), next(ports)) for name in names}
+        self.hosts = {
+            name: f'127.0.{kind}.{index + 1}'
+            for kind, group in ((1, names), (2, targets))
+            for index, name in enumerate(group)
         }
-        self.through: dict[str, str] = {}
+        self.links: dict[str, int] = {}
+        if has_proxy:
+            self.links = {
+                name: next(ports) for name in ('store', *names, *targets)
+            }
         self.settings_overrides: dict[str, dict] = {}
 
     def start(self) -> None:
         """Start everything, ship the manifest and wait until it serves."""
         self.start_store()
+        self.start_proxy()
         for database in self.shape.databases:
             self.start_group(database)
         for name in self.daemons:
@@ -122,19 +137,65 @@
         )
         wait_port(int(port))
 
+    def start_proxy(self) -> None:
+        """Start the fault proxy, if there are links."""
+        if not self.links:
+            return
+        command = [sys.executable, '-m', 'standins.proxy']
+        command += ['--control', str(self.control)]
+        for name, port in self.links.items():
+            command += ['--link', f'{name}={port}:{self.find_upstream(name)}']
+        self.spawn('proxy', command)
+        wait_port(self.control)
+
+    def find_upstream(self, name: str) -> str:
+        """Return where a process really listens."""
+        if name == 'store':
+            return self.store
+        if name in self.targets:
+            return f'{self.hosts[name]}:{self.targets[name]}'
+        return f'{self.hosts[name]}:{self.daemons[name][1]}'
+
+    def find_address(self, name: str) -> str:
+        """Return where others reach a process, by the proxy if there is."""
+        if name in self.links:
+            return f'127.0.0.1:{self.links[name]}'
+        return self.find_upstream(name)
+
+    def set_rules(self, *rules: dict) -> None:
+        """Replace the rules of the fault proxy; ends are process names."""
+        encoded = [
+            {**rule, 'source': self.hosts.get(rule.get('source', '*'), '*')}
+            for rule in rules
+        ]
+        with socket.create_connection(('127.0.0.1', self.control), 5) as sock:
+            sock.sendall(json.dumps(encoded).encode() + b'\n')
+            sock.recv(16)
+
+    def cut(self, ones: list[str], others: list[str]) -> list[dict]:
+        """Return rules that part two sides from each other."""
+        return [
+            {'source': source, 'destination': destination, 'mode': 'cut'}
+            for near, far in ((ones, others), (others, ones))
+            for source in near
+            for destination in far
+            if source in self.hosts
+        ]
+
     def start_group(self, database: str) -> None:
         """Start the targets of a database, the first as primary."""
         names = [name for name in self.targets if name.startswith(database)]
         for name in names:
             self.start_target(name, names[0])
         for name in names:
-            wait_port(self.targets[name])
+            wait_port(self.targets[name], self.hosts[name])
 
     def start_target(self, name: str, primary: str) -> None:
         """Start one target, with a journal that outlives it."""
         shape = self.shape
         command = [sys.executable, '-m', 'standins.target']
         command += ['--port', str(self.targets[name])]
+        command += ['--host', self.hosts[name]]
         command += ['--slots', str(shape.slots)]
         command += ['--connections', str(shape.connections)]
         command += ['--service-ms', str(shape.service_ms)]
@@ -160,21 +221,29 @@
         zones = self.shape.zones
         settings = {
             'version': 1,
-            'instance': {'name': name, 'zone': zones[index % len(zones)]},
+            'instance': {
+                'name': name,
+                'zone': zones[index % len(zones)],
+                'address': self.hosts[name],
+            },
             'callers': {'port': callers},
             'targets': {'user': 'comfreystair', 'password': 'target-secret'},
-            'platform': {'store': self.store, 'instances': self.store},
-            'peers': {'port': peers, 'secret': SECRET},
+            'platform': {
+                'store': self.find_address('store'),
+                'instances': self.find_address('store'),
+            },
+            'peers': {
+                'port': peers,
+                'host': self.hosts[name],
+                'advertised': self.find_address(name),
+                'secret': SECRET,
+            },
         }
         for section, entries in self.settings_overrides.items():
             settings.setdefault(section, {}).update(entries)
         path = self.directory / f'{name}.json'
         path.write_text(json.dumps(settings, indent=2))
 
-    def find_address(self, target: str) -> str:
-        """Return the address of a target, behind its proxy if it has one."""
-        return self.through.get(target, f'127.0.0.1:{self.targets[target]}')
-
     def list_instances(self, leaving: tuple[str, ...] = ()) -> None:
         """Tell the platform which instances there are."""
         zones = self.shape.zones
@@ -185,10 +254,10 @@
                 {
                     'name': name,
                     'zone': zones[index % len(zones)],
-                    'address': f'127.0.0.1:{ports[1]}',
+                    'address': self.find_address(name),
                     'state': 'leaving' if name in leaving else 'live',
                 }
-                for index, (name, ports) in enumerate(self.daemons.items())
+                for index, name in enumerate(self.daemons)
             ],
         )
 
@@ -305,7 +374,7 @@
         first = next(
             name for name in self.daemons if self.processes[name].poll() is None
         )
-        address = f'127.0.0.1:{self.daemons[first][1]}'
+        address = self.find_upstream(first)
         ran = self.run_command(
             'status', '--daemon', address, '--secret', SECRET, '--json'
         )
@@ -344,12 +413,12 @@
             process.wait()
 
 
-def wait_port(port: int) -> None:
+def wait_port(port: int, host: str = '127.0.0.1') -> None:
     """Wait until somebody listens on a port."""
     deadline = time.monotonic() + READY_SECONDS
     while time.monotonic() < deadline:
         with socket.socket() as sock:
-            if sock.connect_ex(('127.0.0.1', port)) == 0:
+            if sock.connect_ex((host, port)) == 0:
                 return
         time.sleep(0.02)
     raise TimeoutError(f'nobody listens on port {port}')
--- a/standins/pgclient.py
+++ b/standins/pgclient.py
@@ -78,13 +78,17 @@
 
 
 async def connect(
-    address: str, parameters: dict[str, str], password: str
+    address: str,
+    parameters: dict[str, str],
+    password: str,
+    source: str = '127.0.0.1',
 ) -> Client:
     """Open a connection to ``host:port`` and authenticate."""
     host, port = address.rsplit(':', 1)
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     try:
+        sock.bind((source, 0))
         await sock.connect((host, int(port)))
     except BaseException:
         await sock.close()
--- /dev/null
+++ b/standins/proxy/__init__.py
@@ -0,0 +1,1 @@
+"""A TCP proxy that injects faults between chosen addresses."""
--- a/standins/target/__main__.py
+++ b/standins/target/__main__.py
@@ -34,7 +34,11 @@
     target = engine.Engine(options['journal'])
     _start_role(target, options)
     shared = _build_shared(target, options)
-    credentials = {'user': options['user'], 'password': options['password']}
+    credentials = {
+        'user': options['user'],
+        'password': options['password'],
+        'source': options['host'],
+    }
     lag = {'apply_seconds': options['lag_ms'] / 1000}
     await curio.spawn(replication.replicate, target, credentials, daemon=True)
     await curio.spawn(replication.apply_late, target, lag, daemon=True)
--- a/standins/target/replication.py
+++ b/standins/target/replication.py
@@ -16,10 +16,15 @@
 async def replicate(target: engine.Engine, credentials: dict) -> None:
     """Follow whichever primary the target was told to follow."""
     while True:
-        try:
-            await _follow(target, credentials)
-        except (OSError, pgclient.QueryError, curio.TaskTimeout):
-            await curio.sleep(_RETRY_SECONDS)
+        followed = _find_followed(target)
+        task = await curio.spawn(_follow, target, credentials, daemon=True)
+        while _find_followed(target) == followed and not task.terminated:
+            await curio.sleep(_POLL_SECONDS)
+        await task.cancel()
+
+
+def _find_followed(target: engine.Engine) -> tuple[str, int, str]:
+    return target.role, target.term, target.primary_address
 
 
 async def apply_late(target: engine.Engine, lag: dict[str, float]) -> None:
@@ -36,12 +41,24 @@
 
 
 async def _follow(target: engine.Engine, credentials: dict) -> None:
-    while target.role != engine.ROLE_REPLICA or not target.primary_address:
+    while True:
+        try:
+            await _follow_once(target, credentials)
+        except (OSError, pgclient.QueryError, curio.TaskTimeout):
+            await curio.sleep(_RETRY_SECONDS)
+
+
+async def _follow_once(target: engine.Engine, credentials: dict) -> None:
+    if target.role != engine.ROLE_REPLICA or not target.primary_address:
         await curio.sleep(_RETRY_SECONDS)
+        return
     address = target.primary_address
     async with curio.timeout_after(_CALL_SECONDS):
         client = await pgclient.connect(
-            address, {'user': credentials['user']}, credentials['password']
+            address,
+            {'user': credentials['user']},
+            credentials['password'],
+            credentials['source'],
         )
     try:
         await _pull(target, client, address)
