Proved the change of primary, and mended what the proofs found

Cause and finds, each by a check that failed first: - Two promoters that split the votes at one term never tried again. A promoter now gives way for 0.3 s to one that it hears of, and backs off after a failed attempt. - A daemon could be heard to have switched to a new epoch of shares up to 0.25 s before its buckets did, so shares in use could exceed one. The share is now put in use before the epoch is known to anybody. - An operator whose answer was lost was told of a conflict when a second manifest followed before the first was read back. A root now keeps the idents of the 32 before it.

Ruled out: fencing by the store's lease, which ends with the store's outage; the proof with the store down passes with targets as acceptors.

--- a/comfreystair/controllers/campaigns.py
+++ b/comfreystair/controllers/campaigns.py
@@ -54,6 +54,7 @@
         self._started_at = started_at
         self._granted: dict[str, TargetStatus] = {}
         self._answered = 0
+        self._refused = 0
         self._majority_at: float | None = None
         self._chosen: str | None = None
         self._promote_at = started_at
@@ -64,7 +65,9 @@
         return self._term
 
     def is_over(self, now: float) -> bool:
-        """Tell whether the attempt took too long."""
+        """Tell whether the attempt took too long, or can't succeed."""
+        if self._refused > self._members - count_majority(self._members):
+            return True
         return now - self._started_at > _GIVE_UP_SECONDS
 
     def see_fence(
@@ -72,6 +75,7 @@
     ) -> None:
         """Count an answer; those after the choice change nothing."""
         self._answered += 1
+        self._refused += not is_granted
         if is_granted and self._chosen is None:
             self._granted[target] = answer
 
--- a/comfreystair/controllers/groups.py
+++ b/comfreystair/controllers/groups.py
@@ -20,6 +20,29 @@
 
 _FOLLOW_SECONDS: Final = 0.5
 _VIEW_SECONDS: Final = 2.0
+_YIELD_SECONDS: Final = 0.3
+_MAX_FAILURES: Final = 5
+
+
+class PeerViews:
+    """Which other daemons reach the primary, as they said lately."""
+
+    def __init__(self) -> None:
+        """Start without views."""
+        self._views: dict[str, tuple[bool, float]] = {}
+
+    def see(self, peer: str, is_reached: bool, at: float) -> None:
+        """Take in one daemon's view."""
+        self._views[peer] = (is_reached, at)
+
+    def is_lost_to_most(self, now: float) -> bool:
+        """Tell whether most do not reach it, this daemon among them."""
+        fresh = [
+            is_reached
+            for is_reached, at in self._views.values()
+            if now - at < _VIEW_SECONDS
+        ]
+        return 2 * sum(fresh) < len(fresh) + 1
 
 
 class Member(NamedTuple):
@@ -85,9 +108,13 @@
         self._rank = 0
         self._seen: dict[str, Observation] = {}
         self._alive_at: dict[str, float] = {}
-        self._views: dict[str, tuple[bool, float]] = {}
+        self._views = PeerViews()
         self._primary: Primary | None = None
         self._trouble_since: float | None = None
+        self._fenced_since: float | None = None
+        self._highest_term = 1
+        self._last_campaign = 0
+        self._failures = 0
         self._campaign: campaigns.Campaign | None = None
         self._follow_at: dict[str, float] = {}
 
@@ -146,7 +173,7 @@
 
     def see_view(self, peer: str, is_reached: bool, at: float) -> None:
         """Take in whether another daemon reaches the primary."""
-        self._views[peer] = (is_reached, at)
+        self._views.see(peer, is_reached, at)
 
     def see_fence(
         self, target: str, term: int, answer: TargetStatus, is_granted: bool
@@ -182,11 +209,13 @@
             return self._continue_campaign(now)
         if not self._has_trouble(now):
             self._trouble_since = None
+            self._failures = 0
             return self._repair_followers(now)
         if self._trouble_since is None:
             self._trouble_since = now
+        self._yield_to_others(now)
         delay = (self._rank + jitter) * self._settings.rank_seconds
-        if now < self._trouble_since + delay:
+        if now < self._trouble_since + delay * 2**self._failures:
             return []
         return self._start_campaign(now)
 
@@ -221,32 +250,29 @@
             return True
         if self._members[primary.target].is_leaving:
             return self._has_successor(fresh)
-        if self._is_fenced_apart(primary, fresh):
-            return self._lasts(primary, now)
-        if not self.is_silent(
-            primary.target, now, self._settings.suspect_seconds
-        ):
-            return False
-        return self._is_lost(primary, fresh, now)
+        if not self.reaches_primary(now) and self._is_lost(primary, fresh, now):
+            return True
+        return self._is_stuck(primary, fresh, now)
 
     def _has_successor(self, fresh: dict[str, TargetStatus]) -> bool:
         staying = [name for name in fresh if not self._members[name].is_leaving]
         return len(staying) >= self.majority
 
-    def _is_fenced_apart(
-        self, primary: Primary, fresh: dict[str, TargetStatus]
+    def _is_stuck(
+        self,
+        primary: Primary,
+        fresh: dict[str, TargetStatus],
+        now: float,
     ) -> bool:
-        return any(
-            status.promised_term > primary.term for status in fresh.values()
-        )
-
-    def _lasts(self, primary: Primary, now: float) -> bool:
-        """Give another promoter the time to finish first."""
-        since = self._trouble_since
-        if since is None:
-            self._trouble_since = now
+        """Tell whether a fence has lasted that no promotion followed."""
+        if all(
+            status.promised_term <= primary.term for status in fresh.values()
+        ):
+            self._fenced_since = None
             return False
-        return now - since > self._settings.isolated_seconds
+        if self._fenced_since is None:
+            self._fenced_since = now
+        return now - self._fenced_since > self._settings.isolated_seconds
 
     def _is_lost(
         self,
@@ -263,21 +289,25 @@
         is_long = self.is_silent(
             primary.target, now, self._settings.isolated_seconds
         )
-        return is_long and self._is_lost_to_most(now)
-
-    def _is_lost_to_most(self, now: float) -> bool:
-        views = [
-            is_reached
-            for is_reached, at in self._views.values()
-            if now - at < _VIEW_SECONDS
-        ]
-        return 2 * sum(views) < len(views) + 1
+        return is_long and self._views.is_lost_to_most(now)
 
-    def _start_campaign(self, now: float) -> list[Effect]:
-        highest = max(
+    def _find_highest_term(self) -> int:
+        return max(
             max(seen.status.promised_term, seen.status.term)
             for seen in self._seen.values()
         )
+
+    def _yield_to_others(self, now: float) -> None:
+        """Give a promoter that was heard of since the time to finish."""
+        highest = self._find_highest_term()
+        if highest > self._highest_term:
+            self._highest_term = highest
+            if highest > self._last_campaign:
+                self._trouble_since = now + _YIELD_SECONDS
+
+    def _start_campaign(self, now: float) -> list[Effect]:
+        highest = self._find_highest_term()
+        self._last_campaign = highest + 1
         self._campaign = campaigns.Campaign(
             term=highest + 1,
             candidate=self._candidate,
@@ -297,13 +327,11 @@
         campaign = self._campaign
         if campaign is None:
             return []
-        is_passed = any(
-            max(seen.status.promised_term, seen.status.term) > campaign.term
-            for seen in self._seen.values()
-        )
+        is_passed = self._find_highest_term() > campaign.term
         if is_passed or campaign.is_over(now):
             self._campaign = None
             self._trouble_since = now
+            self._failures = min(self._failures + 1, _MAX_FAILURES)
             return []
         return list(campaign.tick(now))
 
--- a/comfreystair/daemon.py
+++ b/comfreystair/daemon.py
@@ -122,6 +122,7 @@
             self._gossiper,
             self._store,
             self._peers,
+            self._admission.set_share,
         )
         self._slot_keeper = SlotKeeper(
             self._membership, self._scheduler, self._holder, self._peers
@@ -152,9 +153,7 @@
             await curio.spawn(
                 self._follower.apply_changes, self._apply, daemon=True
             ),
-            await curio.spawn(
-                self._share_keeper.run, self._admission.set_share, daemon=True
-            ),
+            await curio.spawn(self._share_keeper.run, daemon=True),
             await curio.spawn(self._slot_keeper.run, daemon=True),
             await curio.spawn(self._send_metrics, daemon=True),
             await curio.spawn(self._rank_often, daemon=True),
--- a/comfreystair/filters/authenticate.py
+++ b/comfreystair/filters/authenticate.py
@@ -19,7 +19,7 @@
         manifest = parts.holder.current
         if manifest is None:
             raise refusals.refuse_not_run('no manifest yet', 'authenticate')
-        if not _has_key(manifest, request.session):
+        if not has_key(manifest, request.session):
             raise refusals.refuse_withdrawn(request.session.organisation)
         age = parts.generations.find_age(time.monotonic())
         if not may_serve(manifest.policy, age, request.statement.is_read):
@@ -31,7 +31,8 @@
     return handle
 
 
-def _has_key(manifest: ManifestIndex, session: SessionState) -> bool:
+def has_key(manifest: ManifestIndex, session: SessionState) -> bool:
+    """Tell whether a session's key is in force."""
     if session.organisation == PUBLIC_ORGANISATION:
         return True
     return manifest.has_key(session.organisation, session.key_id)
--- a/comfreystair/fleet/shares.py
+++ b/comfreystair/fleet/shares.py
@@ -38,8 +38,13 @@
         gossiper: Gossiper,
         store: Store,
         peers: PeerClients,
+        set_share: SetShare,
     ) -> None:
-        """Take the parts; nothing is read before :meth:`run`."""
+        """Take the parts; nothing is read before :meth:`run`.
+
+        :param set_share: puts a share in use, at a time; it is called before
+            anybody can hear that this daemon has switched.
+        """
         self._controller = controller
         self._membership = membership
         self._gossiper = gossiper
@@ -49,8 +54,9 @@
         self._stable_since = 0.0
         self._read_at = 0.0
         self._contact_at = time.monotonic()
+        self._set_share = set_share
 
-    async def run(self, set_share: SetShare) -> None:
+    async def run(self) -> None:
         """Keep the share in use up to date until cancelled."""
         while True:
             now = time.monotonic()
@@ -60,7 +66,6 @@
             except ComfreystairError as error:
                 logger.debug('event=shares_failed error="{}"', error)
             self._check_isolation(now)
-            set_share(self._controller.share, time.monotonic())
             await curio.sleep(_ROUND_SECONDS)
 
     def answer(self, _request=None):
@@ -121,6 +126,7 @@
 
     def _learn(self, epoch: Epoch) -> None:
         if self._controller.learn(epoch):
+            self._set_share(self._controller.share, time.monotonic())
             logger.info(
                 'event=shares_changed epoch={} settled={} holders={} share={}',
                 epoch.number,
@@ -135,3 +141,4 @@
         self._contact_at = now if alone else max(self._contact_at, heard_at)
         if now - self._contact_at > _ISOLATED_SECONDS:
             self._controller.drop()
+            self._set_share(0, now)
--- a/comfreystair/management/shipping.py
+++ b/comfreystair/management/shipping.py
@@ -1,5 +1,6 @@
 """Ship a manifest to the platform's store, and read the one there."""
 
+import secrets
 from typing import Final, NamedTuple
 
 import curio
@@ -16,12 +17,17 @@
     join_chunks,
     split_manifest,
 )
-from comfreystair.manifest.chunks import decode_root, encode_root
+from comfreystair.manifest.chunks import (
+    build_next_root,
+    decode_root,
+    encode_root,
+)
 from comfreystair.platform import PlatformError, Store
 
 _ATTEMPTS: Final = 5
 _RETRY_SECONDS: Final = 0.3
 _INLINE_BYTES: Final = 524288
+_IDENT_BYTES: Final = 8
 
 
 class Shipped(NamedTuple):
@@ -68,8 +74,8 @@
 ) -> Result[Root, Conflict]:
     """Put a manifest in the place of the one that is expected there.
 
-    An answer that was lost is resolved by reading back: the root names the
-    content by its hash and who shipped it.
+    An answer that was lost is resolved by reading back: a root keeps the
+    idents of the attempts that came before it.
 
     :param expected: generation to replace, by default the one found there.
     :raises PlatformError: when the store can't be asked any more; the outcome
@@ -79,7 +85,8 @@
     if expected is not None and current.root.generation != expected:
         return Err(Conflict(current))
     chunks = split_manifest(encode_manifest(manifest))
-    root = Root(current.root.generation + 1, tuple(chunks), shipped_by)
+    ident = secrets.token_hex(_IDENT_BYTES)
+    root = build_next_root(current.root, chunks, shipped_by, ident)
     beside = {f'{CHUNK_PREFIX}{name}': piece for name, piece in chunks.items()}
     if sum(len(piece) for piece in beside.values()) > _INLINE_BYTES:
         await _write_chunks(store, beside)
@@ -93,7 +100,7 @@
             await curio.sleep(_RETRY_SECONDS)
             is_written = False
         found = await _read_patiently(store)
-        if is_written or found.root == root:
+        if is_written or found.root.has_shipped(ident):
             return Ok(root)
         if found.revision != current.revision:
             return Err(Conflict(found))
--- a/comfreystair/manifest/chunks.py
+++ b/comfreystair/manifest/chunks.py
@@ -5,7 +5,7 @@
 """
 
 import zlib
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import Final, NamedTuple
 
 import msgspec
@@ -14,6 +14,7 @@
 from comfreystair.manifest.exceptions import ChunkError
 
 CHUNK_BYTES: Final = 524288
+_KEPT_IDENTS: Final = 32
 
 
 class Root(NamedTuple):
@@ -22,11 +23,33 @@
     :param generation: goes up by one with each manifest shipped.
     :param chunks: hashes of the chunks, in order.
     :param shipped_by: who shipped it.
+    :param ident: unique for each attempt to ship.
+    :param history: idents of the generations before, newest first.
     """
 
     generation: int
     chunks: tuple[str, ...]
     shipped_by: str = ''
+    ident: str = ''
+    history: tuple[str, ...] = ()
+
+    def has_shipped(self, ident: str) -> bool:
+        """Tell whether an attempt became this generation or one before."""
+        return ident == self.ident or ident in self.history
+
+
+def build_next_root(
+    current: Root, chunks: Iterable[str], shipped_by: str, ident: str
+) -> Root:
+    """Build the root that follows another."""
+    history = tuple(filter(None, (current.ident, *current.history)))
+    return Root(
+        current.generation + 1,
+        tuple(chunks),
+        shipped_by,
+        ident,
+        history[:_KEPT_IDENTS],
+    )
 
 
 def split_manifest(content: bytes) -> dict[str, bytes]:
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -104,6 +104,7 @@
                 name: next(ports) for name in ('store', *names, *targets)
             }
         self.settings_overrides: dict[str, dict] = {}
+        self.without = os.environ.get('COMFREYSTAIR_WITHOUT', '')
 
     def start(self) -> None:
         """Start everything, ship the manifest and wait until it serves."""
@@ -211,6 +212,8 @@
     def start_daemon(self, name: str) -> None:
         """Start one daemon."""
         command = [sys.executable, '-m', 'comfreystair.daemon']
+        if self.without:
+            command = [sys.executable, '-m', 'standins.plain', self.without]
         path = str(self.directory / f'{name}.json')
         self.spawn(name, [*command, '--settings', path])
 
--- a/standins/proxy/__main__.py
+++ b/standins/proxy/__main__.py
@@ -10,6 +10,7 @@
 
 _READ_BYTES = 65536
 _POLL_SECONDS = 0.01
+_LOSE_SECONDS = 0.05
 
 
 @click.command()
@@ -86,7 +87,13 @@
         if not chunk:
             return
         await rules.pass_through(ends)
+        held = rules.take_match(ends, 'hold', chunk)
+        if held:
+            await curio.sleep(held['ms'] / 1000)
         await sink.sendall(chunk)
+        if rules.take_match(ends, 'lose', chunk):
+            await curio.sleep(_LOSE_SECONDS)
+            return
 
 
 if __name__ == '__main__':
--- a/standins/proxy/rules.py
+++ b/standins/proxy/rules.py
@@ -10,7 +10,8 @@
 
     ``cut`` and ``freeze`` hold bytes back until the rule is gone, as a
     network partition does; ``reset`` breaks connections; ``delay`` makes each
-    read wait.
+    read wait. ``hold`` delays, and ``lose`` answers with a broken connection,
+    only what contains the text of ``match``, for ``times`` times.
     """
 
     def __init__(self) -> None:
@@ -33,6 +34,18 @@
                 return rule
         return None
 
+    def take_match(
+        self, ends: tuple[str, str], mode: str, chunk: bytes
+    ) -> dict | None:
+        """Return the rule that some bytes match, and count its use."""
+        rule = self.find(ends, mode)
+        if rule is None or rule['match'].encode() not in chunk:
+            return None
+        if rule.get('times', 1) <= 0:
+            return None
+        rule['times'] = rule.get('times', 1) - 1
+        return rule
+
     async def pass_through(self, ends: tuple[str, str]) -> None:
         """Hold bytes back as the rules say.
 
--- /dev/null
+++ b/tests/controllers/test_buckets.py
@@ -0,0 +1,118 @@
+"""Buckets: all daemons together stay within rate and burst."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from comfreystair.controllers.buckets import Bucket
+
+RATE = 20.0
+BURST = 10.0
+DAEMONS = 3
+SLACK = 0.001
+
+steps = st.lists(
+    st.tuples(
+        st.sampled_from(('request', 'loan', 'lost', 'late', 'share')),
+        st.integers(0, DAEMONS - 1),
+        st.integers(0, DAEMONS - 1),
+        st.floats(0, 0.4),
+    ),
+    max_size=120,
+)
+
+
+class Fleet:
+    """Buckets of several daemons over one clock."""
+
+    def __init__(self) -> None:
+        """Split the whole equally."""
+        self.now = 0.0
+        self.buckets = [Bucket(RATE, BURST, 0) for _ in range(DAEMONS)]
+        for bucket in self.buckets:
+            bucket.set_share(1 / DAEMONS, 0)
+        self.admitted: list[float] = []
+        self.late: list[tuple[int, float, float]] = []
+
+    def run(self, action: str, one: int, other: int, passed: float) -> None:
+        """Take one step."""
+        self.now += passed
+        bucket = self.buckets[one]
+        if action == 'request':
+            bucket.count_arrival(self.now)
+            while bucket.take(self.now):
+                self.admitted.append(self.now)
+        elif action == 'share':
+            self.move_share(one, other)
+        elif one != other:
+            self.lend(action, one, other)
+        self.deliver_late()
+
+    def lend(self, action: str, lender: int, borrower: int) -> None:
+        """Lend; the answer arrives, is lost, or comes late and twice."""
+        asked_at = self.now
+        tokens = self.buckets[lender].lend(3, self.now)
+        if action == 'loan':
+            self.buckets[borrower].borrow(tokens, asked_at, self.now)
+        elif action == 'late':
+            self.late.append((borrower, tokens, asked_at))
+
+    def deliver_late(self) -> None:
+        """Deliver what was late for more than half a second."""
+        for entry in list(self.late):
+            borrower, tokens, asked_at = entry
+            if self.now - asked_at > 0.5:
+                self.late.remove(entry)
+                self.buckets[borrower].borrow(tokens, asked_at, self.now)
+
+    def move_share(self, one: int, other: int) -> None:
+        """Lower one share before another is raised."""
+        if one == other:
+            return
+        half = self.buckets[one].share / 2
+        self.buckets[one].set_share(half, self.now)
+        raised = self.buckets[other].share + half
+        self.buckets[other].set_share(raised, self.now)
+
+
+class BucketTest(unittest.TestCase):
+    """The bound over every window, whatever happens."""
+
+    @settings(max_examples=300, derandomize=True, deadline=None)
+    @given(steps)
+    def test_every_window_is_bounded(self, taken: list) -> None:
+        """No window admits more than rate times its length plus burst."""
+        fleet = Fleet()
+        for step in taken:
+            fleet.run(*step)
+        for first, start in enumerate(fleet.admitted):
+            for last in range(first, len(fleet.admitted)):
+                length = fleet.admitted[last] - start
+                allowed = RATE * length + BURST + SLACK
+                self.assertLessEqual(last - first + 1, allowed)
+
+    def test_borrowed_tokens_run_out(self) -> None:
+        """What was not used within the loan's time is void."""
+        bucket = Bucket(RATE, BURST, 0)
+        bucket.borrow(2, 0, 0.1)
+        self.assertTrue(bucket.take(0.5))
+        self.assertFalse(bucket.take(1.5))
+
+    def test_new_bucket_is_empty(self) -> None:
+        """A daemon that starts anew has nothing to spend."""
+        bucket = Bucket(RATE, BURST, 5)
+        bucket.set_share(1, 5)
+        self.assertFalse(bucket.take(5))
+
+    def test_lender_keeps_what_it_needs(self) -> None:
+        """Demand of its own is not lent away."""
+        bucket = Bucket(RATE, BURST, 0)
+        bucket.set_share(1, 0)
+        for _ in range(20):
+            bucket.count_arrival(1)
+        self.assertLess(bucket.lend(10, 1), 7)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/tests/specs/test_specs.py
@@ -0,0 +1,78 @@
+"""Run the specifications, and show that they catch broken decisions."""
+
+import sys
+import unittest
+
+from minicheck import Protocol, check_safety
+
+from specs import failover, manifest, reads, shares
+
+MAX_STATES = 1000000
+MUTANT_STATES = 30000
+
+
+class SpecificationTest(unittest.TestCase):
+    """Every specification is checked to its last state."""
+
+    def check(self, protocol: Protocol, bound: int = MAX_STATES) -> dict:
+        """Explore states and print how many there were."""
+        explored = check_safety(protocol, max_states=bound)
+        count = explored['reachable_states']
+        sys.stderr.write(f'  {protocol.name}: {count} states\n')
+        return explored
+
+    def assert_holds(self, protocol: Protocol) -> None:
+        """Fail with the shortest trace when an invariant is broken."""
+        explored = self.check(protocol)
+        self.assertTrue(explored['exhaustive'])
+        for name, found in explored['properties'].items():
+            trace = [
+                step['label'] for step in found.get('counterexample') or ()
+            ]
+            self.assertTrue(found['holds'], f'{name}: {trace}')
+
+    def assert_refuted(self, protocol: Protocol, invariant: str) -> None:
+        """Fail when a broken decision is not found out."""
+        explored = self.check(protocol, MUTANT_STATES)
+        self.assertIs(explored['properties'][invariant]['holds'], False)
+
+    def test_failover_holds(self) -> None:
+        """Acknowledged writes survive any two promoters."""
+        self.assert_holds(failover.build())
+
+    def test_failover_needs_the_most_advanced(self) -> None:
+        """Promoting any fenced target loses an acknowledged write."""
+
+        def choose_first(granted: dict, _members: int, _leaving) -> str:
+            return min(granted)
+
+        self.assert_refuted(
+            failover.build(choose=choose_first), 'keeps_acknowledged'
+        )
+
+    def test_failover_needs_a_majority(self) -> None:
+        """Acknowledging on the primary's word alone loses a write."""
+
+        def judge_alone(commit, statuses: list, _majority: int) -> str:
+            held = [one for one in statuses if one.received >= commit]
+            return 'safe' if held else 'waiting'
+
+        self.assert_refuted(
+            failover.build(judge=judge_alone), 'keeps_acknowledged'
+        )
+
+    def test_reads_hold(self) -> None:
+        """A session reads what was acknowledged before it connected."""
+        self.assert_holds(reads.build())
+
+    def test_shares_hold(self) -> None:
+        """Shares in use never add up to more than one."""
+        self.assert_holds(shares.build())
+
+    def test_manifest_holds(self) -> None:
+        """Racing operators are told the truth and nothing reverts."""
+        self.assert_holds(manifest.build())
+
+
+if __name__ == '__main__':
+    unittest.main()
