--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -4,6 +4,7 @@
 import json
 import os
 import pathlib
+import random
 import socket
 import subprocess
 import sys
@@ -15,6 +16,8 @@
 
 READY_SECONDS = 20
 TARGETS = 3
+FIRST_PORT = 10000
+LAST_PORT = 32000
 SECRET = 'peer-secret'
 TABLES = (
     'CREATE TABLE permits (id INTEGER PRIMARY KEY, holder TEXT, '
@@ -44,18 +47,25 @@
 
 
 def find_ports(count: int) -> list[int]:
-    """Return free ports; they are free again when this returns."""
-    socks = []
-    for _ in range(count):
-        sock = socket.socket()
-        sock.bind(('127.0.0.1', 0))
-        socks.append(sock)
-    ports = [sock.getsockname()[1] for sock in socks]
-    for sock in socks:
-        sock.close()
+    """Return ports that nobody uses, below those of outgoing connections."""
+    ports: list[int] = []
+    chooser = random.Random(os.getpid() + time.monotonic_ns())
+    while len(ports) < count:
+        port = chooser.randrange(FIRST_PORT, LAST_PORT)
+        if port not in ports and _is_free(port):
+            ports.append(port)
     return ports
 
 
+def _is_free(port: int) -> bool:
+    with socket.socket() as sock:
+        try:
+            sock.bind(('0.0.0.0', port))
+        except OSError:
+            return False
+    return True
+
+
 def post(address: str, path: str, body: object) -> object:
     """POST JSON to the platform and decode the answer."""
     request = urllib.request.Request(
--- a/standins/store/server.py
+++ b/standins/store/server.py
@@ -28,7 +28,7 @@
         self._lists: list[tuple[float, list]] = [(0.0, [])]
 
     def set_fault(self, fault: dict) -> dict:
-        """Set mode (``up``, ``down`` or ``lose_answers``) and delay."""
+        """Set the mode (``up``, ``down``, ``lose_...``) and the delay."""
         self.mode = fault.get('mode', 'up')
         self.delay_seconds = fault.get('delay_ms', 0) / 1000
         return {'mode': self.mode}
@@ -96,7 +96,9 @@
         await _watch(platform, sock, http, request['create_request'])
         return
     status, answer = _route(platform, path, request)
-    if platform.mode == 'lose_answers' and not path.startswith('/admin'):
+    loses_all = platform.mode == 'lose_answers'
+    loses_write = platform.mode == 'lose_writes' and path == '/v3/kv/txn'
+    if (loses_all or loses_write) and not path.startswith('/admin'):
         raise OSError('answer lost')
     payload = json.dumps(answer).encode()
     headers = [
--- a/tests/promises/support.py
+++ b/tests/promises/support.py
@@ -33,16 +33,23 @@
 
     def setUp(self) -> None:
         """Start the deployment."""
+        self.cluster = self.start_cluster(self.addCleanup)
+
+    @classmethod
+    def start_cluster(cls, add_cleanup: Callable) -> Cluster:
+        """Start a deployment that ends with the test."""
         directory = tempfile.TemporaryDirectory()
-        self.addCleanup(directory.cleanup)
-        self.cluster = Cluster(
-            self.shape, pathlib.Path(directory.name), self.has_proxy
+        add_cleanup(directory.cleanup)
+        cluster = Cluster(
+            cls.shape, pathlib.Path(directory.name), cls.has_proxy
         )
-        self.addCleanup(self.cluster.stop)
-        self.configure()
-        self.cluster.start()
+        add_cleanup(cluster.stop)
+        cls.configure(cluster)
+        cluster.start()
+        return cluster
 
-    def configure(self) -> None:
+    @classmethod
+    def configure(cls, cluster: Cluster) -> None:
         """Change settings before the start; nothing by default."""
 
     def connect(
@@ -95,3 +102,16 @@
         self.assertEqual(load.list_idents('done') - kept, set(), told)
         self.assertEqual(load.list_idents('not run') & kept, set(), told)
         self.assertEqual(load.stale, [], told)
+
+
+class SharedPromiseCase(PromiseCase):
+    """One deployment for all tests of a class; none may break it."""
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        """Start the deployment once."""
+        cls.shared = cls.start_cluster(cls.addClassCleanup)
+
+    def setUp(self) -> None:
+        """Take the deployment that is there."""
+        self.cluster = self.shared
