--- a/comfreystair/controllers/queues.py
+++ b/comfreystair/controllers/queues.py
@@ -1,12 +1,13 @@
 """Fair queueing of organisations at one target, by service time.
 
-Start-time fair queueing: each request gets a start tag, the later of the
-queue's virtual time and the finish tag of its organisation's last request,
-and the lowest start tag goes next. The finish tag is corrected by the service
-time once it is known, so an organisation with long requests gets fewer.
+Start-time fair queueing: an organisation has a start tag, the later of the
+queue's virtual time and its own finish tag, and the lowest start tag goes
+next. The finish tag goes up by the expected service time when a request
+starts and is corrected when it ends, so an organisation with long requests
+gets fewer.
 """
 
-import heapq
+import collections
 import itertools
 from typing import Final, NamedTuple
 
@@ -73,7 +74,7 @@
         self._virtual = 0.0
         self._finish: dict[str, float] = {}
         self._cost: dict[str, float] = {}
-        self._waiting: dict[str, list[tuple[float, int, Ticket]]] = {}
+        self._waiting: dict[str, collections.deque[Ticket]] = {}
         self._urgent: list[Ticket] = []
         self._numbers = itertools.count()
         self._paces: dict[str, Pace] = {}
@@ -95,21 +96,20 @@
         if is_urgent:
             self._urgent.append(ticket)
             return ticket
-        start = max(self._virtual, self._finish.get(organisation, 0))
-        cost = self._cost.get(organisation, _FIRST_COST)
-        self._finish[organisation] = start + cost / weight
-        queue = self._waiting.setdefault(organisation, [])
-        heapq.heappush(queue, (start, number, ticket))
+        queue = self._waiting.setdefault(organisation, collections.deque())
+        if not queue:
+            finish = self._finish.get(organisation, 0)
+            self._finish[organisation] = max(self._virtual, finish)
+        queue.append(ticket)
         return ticket
 
     def remove(self, ticket: Ticket) -> None:
         """Forget a request that gave up waiting."""
         if ticket in self._urgent:
             self._urgent.remove(ticket)
-        queue = self._waiting.get(ticket.organisation, [])
-        kept = [entry for entry in queue if entry[2] != ticket]
-        heapq.heapify(kept)
-        self._waiting[ticket.organisation] = kept
+        queue = self._waiting.get(ticket.organisation, ())
+        if ticket in queue:
+            queue.remove(ticket)
 
     def take(self, now: float) -> Ticket | None:
         """Return the request to start now, if a place is free."""
@@ -118,15 +118,17 @@
         if self._urgent:
             self._running += 1
             return self._urgent.pop(0)
-        heads = [
-            queue[0]
+        ready = [
+            (self._finish[name], queue[0].number, name)
             for name, queue in self._waiting.items()
             if queue and self._find_ready_at(name, now) <= now
         ]
-        if not heads:
+        if not ready:
             return None
-        start, _number, ticket = min(heads)
-        heapq.heappop(self._waiting[ticket.organisation])
+        start, _number, name = min(ready)
+        ticket = self._waiting[name].popleft()
+        cost = self._cost.get(name, _FIRST_COST)
+        self._finish[name] = start + cost / ticket.weight
         self._virtual = max(self._virtual, start)
         self._running += 1
         return ticket
