Counted a restarted daemon's own predecessor, and unknown holders, as ended

Cause: a daemon that restarted alone never got a share. Its predecessor held one in the last epoch, and only another daemon could have proved it dead. A whole fleet restarted at once would have stayed without shares for good.

Ruled out: dropping holders that are not heard of, which a zone that is cut off would not survive.

--- a/comfreystair/controllers/membership.py
+++ b/comfreystair/controllers/membership.py
@@ -17,7 +17,7 @@
 class Contact(NamedTuple):
     """A daemon as it presents itself.
 
-    :param incarnation: unique for each start of the process.
+    :param incarnation: see :func:`build_incarnation`.
     :param address: ``host:port`` for messages between daemons.
     """
 
@@ -43,6 +43,7 @@
         self._seen: dict[str, _Seen] = {}
         self._dead: dict[str, float] = {}
         self._refused_at: dict[str, float] = {}
+        self._missing: dict[str, float] = {}
 
     @property
     def own(self) -> Contact:
@@ -71,6 +72,10 @@
         if contact.incarnation in self._dead:
             return None
         known = self._seen.get(contact.name)
+        if known is not None and known.contact.incarnation > (
+            contact.incarnation
+        ):
+            return None
         self._seen[contact.name] = _Seen(contact, at)
         self._refused_at.pop(contact.name, None)
         if known is None or known.contact.incarnation == contact.incarnation:
@@ -101,6 +106,27 @@
             return None
         return self._bury(known.contact.incarnation, at)
 
+    def find_replaced(
+        self, incarnations: Iterable[str], now: float
+    ) -> list[str]:
+        """Return those that must have ended, by what is known of their names.
+
+        A newer process of the same name proves it, and so does a name that
+        was neither listed nor heard for long.
+        """
+        replaced = []
+        for incarnation in incarnations:
+            name = find_instance(incarnation)
+            if self._is_replaced(name, incarnation):
+                replaced.append(incarnation)
+            elif self._is_known(name):
+                self._missing.pop(incarnation, None)
+            else:
+                since = self._missing.setdefault(incarnation, now)
+                if now - since > _FORGET_SECONDS:
+                    replaced.append(incarnation)
+        return replaced
+
     def forget(self, now: float) -> list[str]:
         """Give up on daemons neither listed nor heard for long.
 
@@ -145,11 +171,35 @@
         """Return when any other daemon was last heard, 0 for never."""
         return max((seen.heard_at for seen in self._seen.values()), default=0)
 
+    def _is_replaced(self, name: str, incarnation: str) -> bool:
+        newest = self._own.incarnation
+        if name != self._own.name:
+            seen = self._seen.get(name)
+            newest = seen.contact.incarnation if seen else ''
+        return newest > incarnation
+
+    def _is_known(self, name: str) -> bool:
+        known = (self._own.name, *self._listed, *self._seen)
+        return name in known
+
     def _bury(self, incarnation: str, at: float) -> str:
         self._dead[incarnation] = at
         return incarnation
 
 
+def build_incarnation(name: str, started_ns: int) -> str:
+    """Return the name of one process; a later one of the same name is higher.
+
+    :param started_ns: wall-clock nanoseconds.
+    """
+    return f'{name}-{started_ns:016x}'
+
+
+def find_instance(incarnation: str) -> str:
+    """Return the name of the instance that a process runs on."""
+    return incarnation.rpartition('-')[0]
+
+
 def rank_members(subject: str, names: Iterable[str]) -> list[str]:
     """Order daemons for a subject by rendezvous hashing, first is best."""
     return sorted(
--- a/comfreystair/daemon.py
+++ b/comfreystair/daemon.py
@@ -25,6 +25,7 @@
 from comfreystair.controllers.membership import (
     Contact,
     MembershipController,
+    build_incarnation,
     rank_members,
 )
 from comfreystair.controllers.shares import ShareController
@@ -54,7 +55,7 @@
 EXIT_USAGE: Final = 2
 _BACKLOG: Final = 1024
 _METRICS_SECONDS: Final = 1.0
-_INCARNATION_BYTES: Final = 8
+_SECRET_BYTES: Final = 8
 
 
 class Daemon:
@@ -64,13 +65,12 @@
         """Wire the parts; nothing is opened before :meth:`run`."""
         self._settings = settings
         instance = settings.instance
-        incarnation = secrets.token_hex(_INCARNATION_BYTES)
         own = Contact(
             instance.name,
             instance.zone,
             settings.peers.advertised
             or f'{instance.address}:{settings.peers.port}',
-            f'{instance.name}-{incarnation}',
+            build_incarnation(instance.name, time.time_ns()),
         )
         dial = build_dialer(instance.address)
         self._dial = dial
@@ -210,7 +210,7 @@
             LoginContext(
                 self._holder,
                 self._cancel,
-                secrets.token_bytes(_INCARNATION_BYTES),
+                secrets.token_bytes(_SECRET_BYTES),
                 _build_tls(settings),
             ),
             self._cancel_keys,
--- a/comfreystair/fleet/shares.py
+++ b/comfreystair/fleet/shares.py
@@ -99,6 +99,10 @@
         if names != self._live:
             self._live = names
             self._stable_since = now
+        epoch = self._controller.epoch
+        holders = {*epoch.units, *epoch.previous}
+        for replaced in self._membership.find_replaced(holders, now):
+            self._gossiper.see_dead(replaced)
         own = self._membership.own
         ranked = rank_members('shares', [one.name for one in live])
         is_coordinator = ranked[:1] == [own.name]
--- a/standins/workload.py
+++ b/standins/workload.py
@@ -13,6 +13,12 @@
 
 NOT_RUN = frozenset(('57P03', '53400', '28000', '42501', '57P01', '53300'))
 UNKNOWN = '08007'
+WRITE_SHARE = 0.1
+BACKLOG_SECONDS = 0.5
+BADGE_SQL = (
+    '/* comfreystair route=badge */ '
+    'SELECT COUNT(*) FROM permits WHERE holder <> %s'
+)
 
 
 class Event(NamedTuple):
@@ -75,6 +81,27 @@
                 (chooser, database, organisation, daemons, pause),
             )
 
+    def add_mixed(
+        self,
+        database: str,
+        organisation: str,
+        daemons: list[str],
+        rate: float,
+        threads: int = 2,
+    ) -> None:
+        """Add callers that send at a rate, a tenth of it writes.
+
+        :param rate: requests a second, over all threads of the organisation.
+        """
+        for index in range(threads):
+            chooser = random.Random(
+                f'{self._seed}/{database}/{organisation}/{index}'
+            )
+            self._add(
+                self._send_at_rate,
+                (chooser, database, organisation, daemons, rate / threads),
+            )
+
     def start(self) -> None:
         """Start all callers."""
         for thread in self._threads:
@@ -156,6 +183,30 @@
             self._stop.wait(pause * chooser.random() * 2)
         callers.close()
 
+    def _send_at_rate(
+        self,
+        chooser: random.Random,
+        database: str,
+        organisation: str,
+        daemons: list[str],
+        rate: float,
+    ) -> None:
+        callers = _Callers(self._cluster, organisation, database)
+        due = time.monotonic()
+        while not self._stop.is_set():
+            due += chooser.expovariate(rate)
+            caller = callers.find(chooser.choice(daemons))
+            if chooser.random() < WRITE_SHARE:
+                ident = f'{database}-{next(self._numbers)}'
+                sql = 'INSERT INTO receipts VALUES (%s, 1)'
+                self._request(caller, 'write', organisation, sql, ident)
+            else:
+                sql = BADGE_SQL
+                self._request(caller, 'read', organisation, sql, 'nobody')
+            due = max(due, time.monotonic() - BACKLOG_SECONDS)
+            self._stop.wait(max(due - time.monotonic(), 0))
+        callers.close()
+
     def _read_back(self, callers: '_Callers', daemon: str, ident: str) -> None:
         """Read a receipt through a new session at any daemon."""
         caller = callers.open(daemon)
