Brought a daemon's control bytes inside their budget at the size to design for

Change: a contact's name is read from its incarnation; a message names 6 members and 8 surpluses; an epoch waits until no daemon came or went for 1.5 s and 0.1 s for each live daemon, so a large fleet gathers its changes.

Ruled out: sending only what changed of an epoch, which needs an order that gossip does not keep.

--- a/comfreystair/fleet/gossip.py
+++ b/comfreystair/fleet/gossip.py
@@ -10,7 +10,11 @@
 
 from comfreystair.conf.schema import PeersSection, PlatformSection
 from comfreystair.controllers.generations import GenerationController
-from comfreystair.controllers.membership import Contact, MembershipController
+from comfreystair.controllers.membership import (
+    Contact,
+    MembershipController,
+    find_instance,
+)
 from comfreystair.controllers.shares import ShareController
 from comfreystair.dialing import Dial
 from comfreystair.fleet.follower import ManifestFollower
@@ -21,9 +25,9 @@
 
 _MILLISECONDS: Final = 1000
 _MAX_AGE_MS: Final = 2000000000
-_MAX_MEMBERS: Final = 32
-_MAX_DEAD: Final = 64
-_MAX_ENTRIES: Final = 64
+_MAX_MEMBERS: Final = 6
+_MAX_DEAD: Final = 16
+_MAX_ENTRIES: Final = 8
 
 
 class Knowledge(NamedTuple):
@@ -226,7 +230,6 @@
 
 def _encode_contact(contact: Contact, age: float):
     return definitions.Contact(
-        name=contact.name,
         zone=contact.zone,
         address=contact.address,
         incarnation=contact.incarnation,
@@ -238,7 +241,7 @@
 
 def _decode_contact(encoded) -> Contact:
     return Contact(
-        encoded.name or '',
+        find_instance(encoded.incarnation or ''),
         encoded.zone or '',
         encoded.address or '',
         encoded.incarnation or '',
--- a/comfreystair/fleet/shares.py
+++ b/comfreystair/fleet/shares.py
@@ -23,6 +23,7 @@
 _ROUND_SECONDS: Final = 0.25
 _READ_SECONDS: Final = 5.0
 _STABLE_SECONDS: Final = 1.5
+_STABLE_SECONDS_A_DAEMON: Final = 0.1
 _ISOLATED_SECONDS: Final = 300.0
 
 SetShare = Callable[[float, float], None]
@@ -110,10 +111,22 @@
             return
         if self._controller.plan(names) is None and now < self._read_at:
             return
-        if now - self._stable_since < _STABLE_SECONDS:
+        if now - self._stable_since < self._find_pause(len(names)):
             return
         await self._write(names, now)
 
+    def _find_pause(self, live: int) -> float:
+        """Return how long daemons must not have come or gone.
+
+        An epoch goes to every daemon and names every daemon, so large fleets
+        gather more changes into one. One that must settle does not wait.
+        """
+        if not self._controller.epoch.is_settled:
+            return 0
+        is_first = not self._controller.epoch.units
+        per_daemon = 0 if is_first else live * _STABLE_SECONDS_A_DAEMON
+        return _STABLE_SECONDS + per_daemon
+
     async def _write(self, names: tuple[str, ...], now: float) -> None:
         pair = await self._store.read(SHARES_KEY)
         self._read_at = now + _READ_SECONDS
--- a/comfreystair/peers/comfreystair.thrift
+++ b/comfreystair/peers/comfreystair.thrift
@@ -14,8 +14,8 @@
     3: binary body
 }
 
+// The name of the instance is the first part of its incarnation.
 struct Contact {
-    1: string name,
     2: string zone,
     3: string address,
     4: string incarnation,
