Took an answer in one piece only when its last byte is there

Cause: the fast path for answers returned one byte too early when the last frame's header had come without its body, and the status byte was then wrong.

Ruled out: waiting for a fixed number of bytes, as answers differ.

--- a/comfreystair/wire/frames.py
+++ b/comfreystair/wire/frames.py
@@ -91,9 +91,9 @@
             if kind not in _PLAIN:
                 return None
             offset += 1 + length
-            if kind == b'Z':
-                self._offset = min(offset, len(buffer))
-                return buffer[start : self._offset]
+            if kind == b'Z' and offset <= len(buffer):
+                self._offset = offset
+                return buffer[start:offset]
         return None
 
     def take_rest(self) -> bytes:
--- a/tests/filters/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Tests of the filters package."""
--- /dev/null
+++ b/tests/routing/test_statements.py
@@ -0,0 +1,54 @@
+"""Classification of statements."""
+
+import unittest
+
+from comfreystair.routing import Tag, read_statement, read_tag
+
+KINDS = (
+    ('SELECT 1', 'read'),
+    ('SELECT 1 FOR UPDATE', 'write'),
+    ("SELECT nextval('a')", 'write'),
+    ('WITH a AS (INSERT INTO b VALUES (1) RETURNING c) SELECT c', 'write'),
+    ('INSERT INTO a VALUES (1)', 'write'),
+    ('not a statement', 'write'),
+    ('BEGIN', 'begin'),
+    ('BEGIN READ ONLY', 'begin_read'),
+    ('COMMIT', 'end'),
+    ('ROLLBACK', 'end'),
+    ('SAVEPOINT one', 'write'),
+    ("SET comfreystair.route = 'x'", 'set'),
+    ('SET LOCAL work_mem = 1', 'set'),
+    ('SET work_mem = 1', 'refused'),
+    ("SELECT set_config('a', 'b', false)", 'refused'),
+    ("SELECT group_promote(3, 'me')", 'refused'),
+    ('CREATE TEMP TABLE a (b INT)', 'refused'),
+    ('COPY a FROM STDIN', 'refused'),
+    ("PREPARE TRANSACTION 'x'", 'refused'),
+    ('DEALLOCATE ALL', 'deallocate'),
+    ('', 'empty'),
+)
+
+
+class StatementTest(unittest.TestCase):
+    """What a statement does, by PostgreSQL's grammar."""
+
+    def test_kinds(self) -> None:
+        """Each kind of statement is told."""
+        for query, kind in KINDS:
+            self.assertEqual(read_statement(query).kinds, (kind,), query)
+
+    def test_several_statements(self) -> None:
+        """A text with several statements has several kinds."""
+        statement = read_statement('BEGIN; SELECT 1; COMMIT')
+        self.assertEqual(statement.kinds, ('begin', 'read', 'end'))
+        self.assertFalse(statement.is_read)
+
+    def test_tags(self) -> None:
+        """A comment names route and idempotency key."""
+        tag = read_tag('/* comfreystair route=badge key=k-1 */ SELECT 1')
+        self.assertEqual(tag, Tag('badge', 'k-1'))
+        self.assertEqual(read_tag('/* other */ SELECT 1'), Tag())
+
+
+if __name__ == '__main__':
+    unittest.main()
