Let open transactions leave room for a daemon's other callers

Cause: read in the pool. With a share of two or three connections for each daemon and target, as many idle transactions held up every other write of the daemon until they ended, and whoever waited had no bound of its own.

Ruled out: a larger share, which the target would not accept of all daemons.

Change: a pool may open as many again while the target takes them, closes them as they come back, and ends a wait after 2 s so that the request is placed again or refused as not run. A batch that only closes statements is answered without a target.

--- a/comfreystair/callers/sessions.py
+++ b/comfreystair/callers/sessions.py
@@ -22,6 +22,7 @@
 from comfreystair.targets.plans import Plan
 from comfreystair.targets.status import query_frame
 from comfreystair.wire.answers import (
+    CLOSE_COMPLETE,
     FAILED_TRANSACTION,
     IDLE,
     build_command_complete,
@@ -199,8 +200,8 @@
         statement = classify_texts(texts, is_executed)
         if state.status == FAILED_TRANSACTION and state.pinned is None:
             return self._answer_failed(statement)
-        if not is_executed and len(batch.frames) == 1:
-            return b''
+        if _only_closes(batch):
+            return CLOSE_COMPLETE * (len(batch.frames) - 1)
         if is_executed and is_local(statement):
             return answer_locally(state, batch, statement)
         request = Request(
@@ -278,6 +279,14 @@
             self._deadline = _NEVER
 
 
+def _only_closes(batch: Batch) -> bool:
+    """Tell whether a batch only closes prepared statements, or nothing."""
+    return batch.is_extended and all(
+        frame.kind == b'S' or (frame.kind == b'C' and frame.payload[:1] == b'S')
+        for frame in batch.frames
+    )
+
+
 async def _roll_back(connection: TargetConnection) -> None:
     if connection.is_broken:
         return
--- a/comfreystair/targets/pool.py
+++ b/comfreystair/targets/pool.py
@@ -17,10 +17,13 @@
 )
 from comfreystair.targets.exceptions import (
     PoolClosedError,
+    TargetBusyError,
     TargetConnectError,
 )
 
 _MIN_CONNECTIONS: Final = 2
+_EXTRA_RATIO: Final = 2
+_WAIT_SECONDS: Final = 2.0
 
 
 class Pool:
@@ -79,6 +82,9 @@
             # while all its connections are busy.
             if self._opened < self._limit + is_urgent:
                 return self._lend(await self._open())
+            extra = await self._open_extra()
+            if extra is not None:
+                return self._lend(extra)
             await self._wait(is_urgent)
         raise PoolClosedError('pool is closed', 'pool', self._target.name)
 
@@ -159,6 +165,19 @@
         )
         return connection
 
+    async def _open_extra(self) -> TargetConnection | None:
+        """Open a connection beyond the share, if the target has one left.
+
+        It is closed when it comes back. Without it, a few idle transactions
+        would hold up all other requests of this daemon.
+        """
+        if self._opened >= self._limit * _EXTRA_RATIO:
+            return None
+        try:
+            return await self._open()
+        except TargetBusyError:
+            return None
+
     async def _wait(self, is_urgent: bool) -> None:
         event = curio.Event()
         if is_urgent:
@@ -166,7 +185,14 @@
         else:
             self._waiters.append(event)
         try:
-            await event.wait()
+            async with curio.timeout_after(_WAIT_SECONDS):
+                await event.wait()
+        except curio.TaskTimeout as error:
+            if event in self._waiters:
+                self._waiters.remove(event)
+            raise TargetConnectError(
+                'all connections are busy', 'pool', self._target.name
+            ) from error
         except BaseException:
             if event in self._waiters:
                 self._waiters.remove(event)
