--- a/tests/specs/test_specs.py
+++ b/tests/specs/test_specs.py
@@ -8,7 +8,7 @@
 from specs import failover, manifest, reads, shares
 
 MAX_STATES = 1000000
-MUTANT_STATES = 30000
+MUTANT_STATES = 200000
 
 
 class SpecificationTest(unittest.TestCase):
