Ended make serve on an interrupt also when a shell started it behind

Cause: a shell that starts a program in the background leaves the interrupt signal ignored, and the program inherits that; it then had to be terminated.

Ruled out: lost children; a termination signal ended all of them.

Conclusion: both signals are now handled.

--- a/standins/demo.py
+++ b/standins/demo.py
@@ -33,7 +33,9 @@
 def _serve(directory: pathlib.Path) -> None:
     shape = scale_down(LIMA)
     cluster = Cluster(shape, directory / 'processes')
-    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    # A shell that starts it in the background leaves SIGINT ignored.
+    for number in (signal.SIGINT, signal.SIGTERM):
+        signal.signal(number, signal.default_int_handler)
     try:
         cluster.start()
         addresses = {
