Removed what nothing calls, and passed on a wake that came too late

Cause: a last reading of the change. In the pool, a wait that ended by its bound left the queue in a copy of the code for a cancelled one, without its last step: a connection's wake that came in the same moment was lost, and the next in the queue waited on. Both ends now share one function.

--- a/comfreystair/controllers/membership.py
+++ b/comfreystair/controllers/membership.py
@@ -44,7 +44,6 @@
         self._listed: dict[str, Contact] = {}
         self._seen: dict[str, _Seen] = {}
         self._dead: dict[str, float] = {}
-        self._refused_at: dict[str, float] = {}
         self._missing: dict[str, float] = {}
 
     @property
@@ -83,7 +82,6 @@
         ):
             return None
         self._seen[contact.name] = _Seen(contact, at)
-        self._refused_at.pop(contact.name, None)
         if known is None or known.contact.incarnation == contact.incarnation:
             return None
         return self._bury(known.contact.incarnation, at)
@@ -109,7 +107,6 @@
 
         :returns: the incarnation that this proves dead, if it was known.
         """
-        self._refused_at[name] = at
         known = self._seen.pop(name, None)
         if known is None:
             return None
--- a/comfreystair/controllers/shares.py
+++ b/comfreystair/controllers/shares.py
@@ -6,7 +6,7 @@
 in use never add up to more than one, whoever has learned of what.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 from typing import Final, NamedTuple
 
 TOTAL_UNITS: Final = 1073741824
@@ -119,8 +119,3 @@
     """Split the whole equally; what does not divide is left out."""
     ordered = sorted(holders)
     return {one: TOTAL_UNITS // len(ordered) for one in ordered}
-
-
-def sum_units(units: Mapping[str, int]) -> int:
-    """Return the units given out."""
-    return sum(units.values())
--- a/comfreystair/filters/session.py
+++ b/comfreystair/filters/session.py
@@ -64,5 +64,4 @@
     status: bytes = b'I'
     has_written: bool = False
     running: TargetConnection | None = None
-    is_cancelled: bool = False
     last_trace: str = ''
--- a/comfreystair/targets/pool.py
+++ b/comfreystair/targets/pool.py
@@ -125,13 +125,6 @@
             await connection.abort()
         return len(hopeless)
 
-    async def drop_idle(self) -> None:
-        """Close idle connections, after the target was lost."""
-        while self._idle:
-            self._opened -= 1
-            await self._idle.pop().close()
-        await self._wake()
-
     def _lend(self, connection: TargetConnection) -> TargetConnection:
         self._lent.add(connection)
         return connection
@@ -188,18 +181,21 @@
             async with curio.timeout_after(_WAIT_SECONDS):
                 await event.wait()
         except curio.TaskTimeout as error:
-            if event in self._waiters:
-                self._waiters.remove(event)
+            await self._stop_waiting(event)
             raise TargetConnectError(
                 'all connections are busy', 'pool', self._target.name
             ) from error
         except BaseException:
-            if event in self._waiters:
-                self._waiters.remove(event)
-            else:
-                await self._wake()
+            await self._stop_waiting(event)
             raise
 
+    async def _stop_waiting(self, event: curio.Event) -> None:
+        """Leave the queue, and pass on a wake that came too late."""
+        if event in self._waiters:
+            self._waiters.remove(event)
+        else:
+            await self._wake()
+
     async def _wake(self) -> None:
         if self._waiters:
             await self._waiters.popleft().set()
--- a/comfreystair/wire/frames.py
+++ b/comfreystair/wire/frames.py
@@ -95,10 +95,3 @@
                 self._offset = offset
                 return buffer[start:offset]
         return None
-
-    def take_rest(self) -> bytes:
-        """Return and forget the bytes not yet handed out."""
-        rest = self._buffer[self._offset :]
-        self._buffer = b''
-        self._offset = 0
-        return rest
