--- a/comfreystair/daemon.py
+++ b/comfreystair/daemon.py
@@ -48,7 +48,7 @@
 from comfreystair.peers import PeerClients, PeerError, PeerServer
 from comfreystair.peers.messages import definitions
 from comfreystair.peers.server import Method
-from comfreystair.platform import Store
+from comfreystair.etcd import Store
 from comfreystair.signals import wait_for_signal
 from comfreystair.targets.groups import DatabaseGroup
 
--- a/comfreystair/platform/exceptions.py
+++ b/comfreystair/etcd/exceptions.py
@@ -1,4 +1,4 @@
-"""Exceptions of the platform package."""
+"""Exceptions of the etcd package."""
 
 from comfreystair.exceptions import ComfreystairError
 
--- a/comfreystair/platform/http.py
+++ b/comfreystair/etcd/http.py
@@ -9,7 +9,7 @@
 from curio import socket
 
 from comfreystair.dialing import Dial
-from comfreystair.platform.exceptions import PlatformError
+from comfreystair.etcd.exceptions import PlatformError
 
 _READ_BYTES: Final = 65536
 _OK: Final = 200
--- a/comfreystair/platform/instances.py
+++ b/comfreystair/etcd/instances.py
@@ -5,8 +5,8 @@
 import msgspec
 
 from comfreystair.dialing import Dial
-from comfreystair.platform.exceptions import PlatformError
-from comfreystair.platform.http import post_json
+from comfreystair.etcd.exceptions import PlatformError
+from comfreystair.etcd.http import post_json
 
 InstanceState = Literal['live', 'leaving']
 
--- a/comfreystair/platform/store.py
+++ b/comfreystair/etcd/store.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from comfreystair.dialing import Dial
-from comfreystair.platform.http import post_json, stream_json
+from comfreystair.etcd.http import post_json, stream_json
 
 
 class Pair(NamedTuple):
--- a/comfreystair/fleet/follower.py
+++ b/comfreystair/fleet/follower.py
@@ -19,7 +19,7 @@
 from comfreystair.manifest.index import ManifestIndex
 from comfreystair.peers import PeerClients, PeerError
 from comfreystair.peers.messages import definitions
-from comfreystair.platform import PlatformError, Store
+from comfreystair.etcd import PlatformError, Store
 
 ROOT_KEY: Final = 'manifest/root'
 CHUNK_PREFIX: Final = 'manifest/chunk/'
--- a/comfreystair/fleet/gossip.py
+++ b/comfreystair/fleet/gossip.py
@@ -20,7 +20,7 @@
 from comfreystair.fleet.follower import ManifestFollower
 from comfreystair.peers import PeerClients, PeerError, PeerRefusedError
 from comfreystair.peers.messages import definitions
-from comfreystair.platform import PlatformError, list_instances
+from comfreystair.etcd import PlatformError, list_instances
 from comfreystair.targets.groups import DatabaseGroup
 
 _MILLISECONDS: Final = 1000
--- a/comfreystair/fleet/shares.py
+++ b/comfreystair/fleet/shares.py
@@ -17,7 +17,7 @@
 from comfreystair.fleet.gossip import Gossiper
 from comfreystair.peers import PeerClients
 from comfreystair.peers.messages import definitions
-from comfreystair.platform import Store
+from comfreystair.etcd import Store
 
 SHARES_KEY: Final = 'shares'
 _ROUND_SECONDS: Final = 0.25
--- a/comfreystair/management/commands/manifest_ship.py
+++ b/comfreystair/management/commands/manifest_ship.py
@@ -28,7 +28,7 @@
 from comfreystair.management.shipping import Conflict, ship_manifest
 from comfreystair.manifest import Manifest, check_manifest, diff_manifests
 from comfreystair.manifest.checks import has_errors
-from comfreystair.platform import PlatformError, Store
+from comfreystair.etcd import PlatformError, Store
 
 
 @click.command('ship')
--- a/comfreystair/management/shipping.py
+++ b/comfreystair/management/shipping.py
@@ -22,7 +22,7 @@
     decode_root,
     encode_root,
 )
-from comfreystair.platform import PlatformError, Store
+from comfreystair.etcd import PlatformError, Store
 
 _ATTEMPTS: Final = 5
 _RETRY_SECONDS: Final = 0.3
