--- /dev/null
+++ b/comfreystair/conf/entry.py
@@ -0,0 +1,138 @@
+"""Settings of an entry instance, as the platform renders them."""
+
+import msgspec
+
+from comfreystair.conf.checks import LEVEL_ERROR, LEVEL_WARNING, Finding
+from comfreystair.conf.exceptions import SettingsError
+from comfreystair.conf.loader import read_file
+from comfreystair.controllers.leadership import PROOF_SECONDS
+
+_MILLISECONDS = 1000
+
+
+class Section(msgspec.Struct, frozen=True):
+    """Base of all sections; entries may be added by later versions."""
+
+
+class InstanceSection(Section, frozen=True):
+    """Who and where this instance is."""
+
+    name: str
+    zone: str
+    address: str
+
+
+class ListenSection(Section, frozen=True):
+    """Where to listen; ``callers`` and ``ready`` are ``host:port``."""
+
+    callers: str
+    ready: str
+    peer_port: int
+    metrics_port: int
+
+
+class StoreSection(Section, frozen=True):
+    """The platform's store."""
+
+    address: str
+    least_lease_ms: int = 1000
+
+
+class PromotionSection(Section, frozen=True):
+    """Where promotions are ordered."""
+
+    address: str
+
+
+class BoundsSection(Section, frozen=True):
+    """What operators are promised, in milliseconds."""
+
+    key_revocation_ms: int = 5000
+    configuration_ms: int = 3000
+    contact_ms: int = 4000
+    shutdown_ms: int = 6000
+    drain_ms: int = 7000
+    rate_window_ms: int = 5000
+
+
+class EntrySettings(Section, frozen=True):
+    """The whole file.
+
+    :param zones: the region of each availability zone.
+    """
+
+    instance: InstanceSection
+    zones: dict[str, str]
+    listen: ListenSection
+    store: StoreSection
+    promotion: PromotionSection
+    bounds: BoundsSection = BoundsSection()
+
+    @property
+    def key_seconds(self) -> float:
+        """Return within which time a withdrawn key must stop."""
+        return self.bounds.key_revocation_ms / _MILLISECONDS
+
+    @property
+    def shutdown_seconds(self) -> float:
+        """Return how long a shutdown may take."""
+        return self.bounds.shutdown_ms / _MILLISECONDS
+
+
+def load_entry_settings(path: str) -> EntrySettings:
+    """Decode a settings file.
+
+    :raises SettingsError: naming the entry that does not fit.
+    """
+    try:
+        return msgspec.json.decode(read_file(path), type=EntrySettings)
+    except msgspec.DecodeError as error:
+        raise SettingsError(f'{path}: {error}', 'settings') from error
+
+
+def check_entry_settings(settings: EntrySettings) -> list[Finding]:
+    """Run every check and return all findings."""
+    return [
+        found
+        for check in (_check_zone, _check_keys, _check_shutdown)
+        for found in check(settings)
+    ]
+
+
+def _check_zone(settings: EntrySettings) -> list[Finding]:
+    if settings.instance.zone in settings.zones:
+        return []
+    return [
+        Finding(
+            'comfreystair.E101',
+            LEVEL_ERROR,
+            f'zone {settings.instance.zone} is not among the zones',
+            'list every availability zone under zones',
+        )
+    ]
+
+
+def _check_keys(settings: EntrySettings) -> list[Finding]:
+    if settings.key_seconds > PROOF_SECONDS / 2:
+        return []
+    return [
+        Finding(
+            'comfreystair.E102',
+            LEVEL_ERROR,
+            'keys must stop sooner than the plan is confirmed',
+            f'raise key_revocation_ms above {PROOF_SECONDS * 500:.0f}',
+        )
+    ]
+
+
+def _check_shutdown(settings: EntrySettings) -> list[Finding]:
+    if settings.bounds.shutdown_ms >= 2 * _MILLISECONDS:
+        return []
+    return [
+        Finding(
+            'comfreystair.W103',
+            LEVEL_WARNING,
+            'a shutdown under 2 s cuts requests',
+            'raise shutdown_ms',
+        )
+    ]
--- /dev/null
+++ b/comfreystair/controllers/seats.py
@@ -0,0 +1,112 @@
+"""Which connection of a target an organisation gets.
+
+A target bounds the connections of the whole fleet, and each belongs to one
+organisation, so an instance keeps few and gives up the one that rested
+longest when another organisation needs its place.
+"""
+
+import enum
+import itertools
+from typing import NamedTuple
+
+
+class SeatMove(enum.Enum):
+    """What to do for a request that needs a connection."""
+
+    reuse = enum.auto()
+    open = enum.auto()
+    replace = enum.auto()
+    wait = enum.auto()
+
+
+class Seat(NamedTuple):
+    """A resting connection.
+
+    :param number: unique in the pool, higher for one that rested shorter.
+    """
+
+    number: int
+    organisation: str
+
+
+class SeatDecision(NamedTuple):
+    """A move with the resting connection it takes, if any."""
+
+    move: SeatMove
+    seat: Seat | None = None
+
+
+class SeatController:
+    """Count an instance's connections to one target."""
+
+    def __init__(self, limit: int) -> None:
+        """Start without connections.
+
+        :param limit: connections that this instance may hold.
+        """
+        self._limit = limit
+        self._resting: list[Seat] = []
+        self._held = 0
+        self._numbers = itertools.count()
+
+    @property
+    def total(self) -> int:
+        """Return connections that rest, work or are being opened."""
+        return self._held + len(self._resting)
+
+    @property
+    def held(self) -> int:
+        """Return connections that work or are being opened."""
+        return self._held
+
+    def set_limit(self, limit: int) -> list[Seat]:
+        """Change the bound and return what must be closed."""
+        self._limit = limit
+        dropped: list[Seat] = []
+        while self.total > limit and self._resting:
+            dropped.append(self._resting.pop(0))
+        return dropped
+
+    def decide(self, organisation: str) -> SeatDecision:
+        """Return how a request gets its connection, and count it as held."""
+        for seat in reversed(self._resting):
+            if seat.organisation == organisation:
+                return self._take(SeatMove.reuse, seat)
+        if self.total < self._limit:
+            return self._take(SeatMove.open, None)
+        if self._resting:
+            return self._take(SeatMove.replace, self._resting[0])
+        return SeatDecision(SeatMove.wait)
+
+    def rest(self, organisation: str) -> Seat | None:
+        """Give a held connection back; nothing when it must be closed."""
+        self._held -= 1
+        if self.total >= self._limit:
+            return None
+        seat = Seat(next(self._numbers), organisation)
+        self._resting.append(seat)
+        return seat
+
+    def drop(self) -> None:
+        """Count a held connection as gone."""
+        self._held -= 1
+
+    def forget(self, seat: Seat) -> None:
+        """Count a resting connection as gone."""
+        if seat in self._resting:
+            self._resting.remove(seat)
+
+    def _take(self, move: SeatMove, seat: Seat | None) -> SeatDecision:
+        if seat is not None:
+            self._resting.remove(seat)
+        self._held += 1
+        return SeatDecision(move, seat)
+
+
+def find_limit(connections: int, instances: int, reserve: int) -> int:
+    """Return the connections to one target that an instance may hold.
+
+    :param connections: limit of the target over the whole fleet.
+    :param reserve: connections kept for status questions and leftovers.
+    """
+    return max((connections - reserve) // max(instances, 1), 1)
--- /dev/null
+++ b/comfreystair/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""What instances keep in the store and tell each other."""
--- /dev/null
+++ b/comfreystair/coordination/exceptions.py
@@ -0,0 +1,7 @@
+"""Exceptions of the coordination package."""
+
+from comfreystair.exceptions import ComfreystairError
+
+
+class ChangeFailedError(ComfreystairError):
+    """A change of primary could not go on; another attempt may."""
--- /dev/null
+++ b/comfreystair/coordination/pulse.py
@@ -0,0 +1,220 @@
+"""Keep the proofs of the plan and of every group's primary young.
+
+One conditional call without writes names the revisions that this instance
+knows. Success proves that all are the newest; a conflict brings those that
+are newer. Its own registration is among them, so a proof implies that whoever
+replaces a primary finds this instance in the list.
+"""
+
+import random
+from collections.abc import Callable
+from typing import Final
+
+import curio
+
+from comfreystair.clocks import read_clock
+from comfreystair.coordination.records import (
+    GROUPS_PREFIX,
+    INSTANCES_PREFIX,
+    Committed,
+    Conflict,
+    Item,
+    StoreClient,
+    decode_leadership,
+    encode_record,
+)
+from comfreystair.coordination.state import FleetState
+from comfreystair.exceptions import ComfreystairError
+from comfreystair.manifest.serving import ServingPlan
+from comfreystair.observability.decisions import DecisionLog
+
+# Time between proofs, in seconds: a quarter of a proof's life.
+_PULSE_SECONDS: Final = 0.7
+_RETRY_SECONDS: Final = 0.15
+# Life of this instance's registration without renewal, in seconds: twice a
+# proof's, so that no proof outlives the registration it implies.
+LEASE_SECONDS: Final = 7.0
+_RENEW_SECONDS: Final = 2.0
+# Keys in one call at most, as the store states it.
+_MOST_KEYS: Final = 32
+
+ParsePlan = Callable[[Item], ServingPlan]
+
+
+class Pulse:
+    """Read proofs from the store."""
+
+    def __init__(
+        self,
+        state: FleetState,
+        store: StoreClient,
+        plan_key: str,
+        parse_plan: ParsePlan,
+        log: DecisionLog,
+    ) -> None:
+        """Take the parts."""
+        self._state = state
+        self._store = store
+        self._plan_key = plan_key
+        self._parse_plan = parse_plan
+        self._log = log
+        self._own_key = f'{INSTANCES_PREFIX}{state.own.name}'
+        self._own_revision = 0
+        self._lease = 0
+        self._renewed_at = float('-inf')
+        self._wake = curio.Event()
+        self._is_reached = False
+
+    @property
+    def is_reached(self) -> bool:
+        """Tell whether the last call was answered."""
+        return self._is_reached
+
+    async def hurry(self) -> None:
+        """Read a proof now."""
+        await self._wake.set()
+
+    async def run(self) -> None:
+        """Read proofs until cancelled."""
+        while True:
+            pause = _PULSE_SECONDS * random.uniform(0.85, 1.15)  # noqa: S311
+            try:
+                await self._beat()
+            except ComfreystairError as error:
+                self._note_reached(is_reached=False, reason=str(error))
+                pause = _RETRY_SECONDS * random.uniform(0.5, 1.5)  # noqa: S311
+            async with curio.ignore_after(pause):
+                await self._wake.wait()
+            self._wake.clear()
+
+    async def leave(self) -> None:
+        """Take this instance off the list."""
+        if self._lease:
+            await self._store.end_lease(self._lease)
+
+    async def _beat(self) -> None:
+        if not self._own_revision:
+            await self._register()
+        elif read_clock() - self._renewed_at > _RENEW_SECONDS:
+            await self._renew()
+        groups = self._list_groups()
+        room = _MOST_KEYS - 2
+        for start in range(0, max(len(groups), 1), room):
+            await self._prove(groups[start : start + room])
+        self._note_reached(is_reached=True, reason='')
+
+    async def _prove(self, groups: list[str]) -> None:
+        state = self._state
+        expected = {
+            self._plan_key: state.plan.revision if state.plan else 0,
+            self._own_key: self._own_revision,
+        }
+        for group in groups:
+            record = state.find_group(group).leadership.record
+            expected[f'{GROUPS_PREFIX}{group}'] = record.revision
+        asked_at = read_clock()
+        outcome = await self._store.change(expected)
+        if isinstance(outcome, Conflict):
+            await self._take_conflict(expected, outcome, groups, asked_at)
+            return
+        state.plan_proved_at = max(state.plan_proved_at, asked_at)
+        for group in groups:
+            await self._learn(group, None, asked_at)
+
+    async def _take_conflict(
+        self,
+        expected: dict[str, int],
+        conflict: Conflict,
+        groups: list[str],
+        asked_at: float,
+    ) -> None:
+        found = conflict.items
+        missing = Item(b'', 0)
+        if found.get(self._own_key, missing).revision != self._own_revision:
+            self._own_revision = 0
+            await self._wake.set()
+            return
+        self._take_plan(found.get(self._plan_key), asked_at)
+        for group in groups:
+            key = f'{GROUPS_PREFIX}{group}'
+            item = found.get(key, missing)
+            await self._learn(group, item, asked_at)
+        if set(self._list_groups()) - set(groups):
+            await self._wake.set()
+
+    def _take_plan(self, item: Item | None, asked_at: float) -> None:
+        state = self._state
+        if item is None or not item.revision:
+            return
+        known = state.plan.revision if state.plan else 0
+        if item.revision > known:
+            state.plan = self._parse_plan(item)
+            self._log.write(
+                'plan_in_force',
+                version=state.plan.version,
+                revision=item.revision,
+                routes=len(state.plan.routes),
+            )
+        state.plan_proved_at = max(state.plan_proved_at, asked_at)
+
+    async def _learn(
+        self, group: str, item: Item | None, asked_at: float
+    ) -> None:
+        state = self._state.find_group(group)
+        record = state.leadership.record
+        if item is not None:
+            record = decode_leadership(item)
+        age = state.leadership.find_proof_age(read_clock())
+        if state.leadership.learn(record, asked_at):
+            self._log.write(
+                'leadership',
+                group=group,
+                primary=record.primary,
+                term=record.term,
+                is_changing=record.is_changing,
+                revision=record.revision,
+                proof_age=age,
+            )
+        await state.announce()
+
+    def _list_groups(self) -> list[str]:
+        plan = self._state.plan
+        if plan is None:
+            return []
+        return sorted({route.group for route in plan.routes.values()})
+
+    async def _register(self) -> None:
+        asked_at = read_clock()
+        if not self._lease:
+            self._lease = await self._store.grant_lease(LEASE_SECONDS)
+        content = encode_record(self._state.own)
+        expected = {self._own_key: self._own_revision}
+        for _attempt in range(3):
+            outcome = await self._store.change(
+                expected, {self._own_key: content}, self._lease, (self._own_key,)
+            )
+            if isinstance(outcome, Committed):
+                self._own_revision = outcome.revision
+                self._renewed_at = asked_at
+                return
+            found = outcome.items.get(self._own_key)
+            if found is None and not outcome.items:
+                self._lease = 0
+                return
+            expected = {self._own_key: found.revision if found else 0}
+
+    async def _renew(self) -> None:
+        asked_at = read_clock()
+        if await self._store.keep_lease(self._lease):
+            self._renewed_at = asked_at
+        else:
+            self._lease = 0
+            self._own_revision = 0
+            await self._register()
+
+    def _note_reached(self, is_reached: bool, reason: str) -> None:
+        if is_reached != self._is_reached:
+            self._is_reached = is_reached
+            event = 'store_regained' if is_reached else 'store_lost'
+            age = self._state.find_plan_age(read_clock())
+            self._log.write(event, reason=reason, proof_age=age)
--- a/comfreystair/daemon.py
+++ b/comfreystair/daemon.py
@@ -44,7 +44,9 @@
 from comfreystair.fleet.gossip import Knowledge
 from comfreystair.fleet.inquiries import Inquiries
 from comfreystair.manifest.index import ManifestHolder, ManifestIndex
-from comfreystair.observability import Metrics, Tracer, configure_logs
+from comfreystair.observability.logs import configure_logs
+from comfreystair.observability.metrics import Metrics
+from comfreystair.observability.traces import Tracer
 from comfreystair.peers import PeerClients, PeerError, PeerServer
 from comfreystair.peers.messages import definitions
 from comfreystair.peers.server import Method
--- /dev/null
+++ b/comfreystair/entry.py
@@ -0,0 +1,323 @@
+"""An entry instance on the users' platform: composition, start, shutdown."""
+
+import os
+import signal
+import sys
+import time
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+import curio
+from curio import socket
+from loguru import logger
+
+from comfreystair.clocks import read_clock
+from comfreystair.conf.checks import LEVEL_ERROR
+from comfreystair.conf.entry import (
+    EntrySettings,
+    check_entry_settings,
+    load_entry_settings,
+)
+from comfreystair.controllers.membership import build_incarnation
+from comfreystair.coordination.admission import Admission, Keeper
+from comfreystair.coordination.directory import Directory
+from comfreystair.coordination.keepers import KeeperDuty
+from comfreystair.coordination.leaders import Leaders
+from comfreystair.coordination.pulse import Pulse
+from comfreystair.coordination.records import InstanceRecord
+from comfreystair.coordination.state import FleetState
+from comfreystair.dialing import build_dialer
+from comfreystair.exceptions import ComfreystairError
+from comfreystair.observability.counters import Counters
+from comfreystair.observability.decisions import DecisionLog
+from comfreystair.observability.pages import serve_pages
+from comfreystair.peers import PeerClients, PeerServer
+from comfreystair.peers.messages import definitions
+from comfreystair.peers.server import Method
+from comfreystair.platform.callers import serve_caller
+from comfreystair.platform.documents import (
+    PLAN_KEY,
+    TARGETS_PREFIX,
+    parse_plan,
+    parse_targets,
+)
+from comfreystair.platform.http import HttpClient
+from comfreystair.platform.promotion import Promoter
+from comfreystair.platform.store import Store
+from comfreystair.platform.targets import TargetConnection, open_target
+from comfreystair.pooling.board import TargetBoard
+from comfreystair.pooling.members import TargetEntry
+from comfreystair.sessions.desk import Desk
+from comfreystair.sessions.execution import Executor
+from comfreystair.sessions.placement import Placement
+from comfreystair.signals import wait_for_signal
+
+SETTINGS_VARIABLE: Final = 'COMFREYSTAIR_SETTINGS'
+EXIT_USAGE: Final = 2
+_BACKLOG: Final = 512
+# Bounds on one call, in seconds: the store answers in milliseconds.
+_STORE_SECONDS: Final = 0.6
+_PROMOTE_SECONDS: Final = 1.0
+_PEER_SECONDS: Final = 0.5
+# Unacknowledged bytes on a connection for this long mean that it is silent.
+_SILENCE_MILLISECONDS: Final = 2000
+# Sessions at rest are closed over this span of a shutdown, in seconds.
+_CLOSE_SECONDS: Final = 1.5
+# New callers may still come for this long after readiness is withdrawn, in
+# seconds: the platform asks once a second and needs two misses.
+_ROTATION_SECONDS: Final = 2.6
+# Kept of a shutdown's time for giving duties back, in seconds.
+_LEAVE_SECONDS: Final = 0.8
+_STEP_SECONDS: Final = 0.1
+# The organisation that questions about a target's status are asked for.
+_PROBE_NAME: Final = 'comfreystair'
+_OK: Final = 200
+_NOT_READY: Final = 503
+
+
+class EntryInstance:
+    """All parts of one instance, wired."""
+
+    def __init__(self, settings: EntrySettings) -> None:
+        """Wire the parts; nothing is opened before :meth:`run`."""
+        self._settings = settings
+        instance = settings.instance
+        self._log = DecisionLog(instance.name, sys.stdout.fileno())
+        own = InstanceRecord(
+            instance.name,
+            instance.zone,
+            f'{instance.address}:{settings.listen.peer_port}',
+            build_incarnation(instance.name, time.time_ns()),
+        )
+        self._state = FleetState(own)
+        self._dial = _bound_silence(build_dialer(instance.address))
+        store = Store(
+            HttpClient(self._dial, settings.store.address), _STORE_SECONDS
+        )
+        self._pulse = Pulse(
+            self._state, store, PLAN_KEY, parse_plan, self._log
+        )
+        self._directory = Directory(
+            self._state, store, TARGETS_PREFIX, parse_targets, self._log
+        )
+        self._peers = PeerClients(self._dial, _PEER_SECONDS, '')
+        self._keeper = Keeper(self._state, len(settings.zones))
+        self._duty = KeeperDuty(
+            self._state, store, self._peers, self._keeper, self._log
+        )
+        promoter = Promoter(
+            HttpClient(self._dial, settings.promotion.address),
+            instance.name,
+            _PROMOTE_SECONDS,
+        )
+        self._leaders = Leaders(
+            self._state,
+            store,
+            self._peers,
+            self._open_probe,
+            promoter.promote,
+            self._pulse.hurry,
+            self._log,
+        )
+        self._board = TargetBoard(instance.zone, self._open)
+        self._counters = Counters()
+        self._desk = self._build_desk()
+
+    async def run(self) -> None:
+        """Serve until SIGTERM, then let the sessions end."""
+        settings = self._settings
+        listen = settings.listen
+        host = settings.instance.address
+        self._log.write('start', zone=settings.instance.zone)
+        peer_server = PeerServer(self._build_methods(), '')
+        await _spawn(self._log.run)
+        await _spawn(peer_server.run, _listen(f'{host}:{listen.peer_port}'))
+        ready = _listen(listen.ready)
+        await _spawn(serve_pages, ready, self._show_ready)
+        metrics = _listen(f'{host}:{listen.metrics_port}')
+        await _spawn(serve_pages, metrics, self._show_metrics)
+        await _spawn(self._pulse.run)
+        await _spawn(self._directory.run, self._update_board)
+        await _spawn(self._duty.run)
+        await _spawn(self._leaders.run)
+        await _spawn(self._accept, _listen(listen.callers))
+        number = signal.SIGHUP
+        while number == signal.SIGHUP:
+            number = await wait_for_signal(
+                signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+            )
+            if number == signal.SIGHUP:
+                self._reload()
+        await self._shut_down(number)
+
+    def _reload(self) -> None:
+        """Say what has changed; addresses and names need a restart."""
+        path = os.environ.get(SETTINGS_VARIABLE, '')
+        try:
+            read = load_entry_settings(path)
+        except ComfreystairError as error:
+            self._log.write('reload', is_taken=False, reason=error)
+            return
+        self._log.write(
+            'reload', is_taken=True, is_changed=read != self._settings
+        )
+
+    def _build_desk(self) -> Desk:
+        admission = Admission(
+            self._state, self._peers, tuple(self._settings.zones), self._log
+        )
+        placement = Placement(
+            self._state,
+            self._board,
+            self._pulse.hurry,
+            lambda: self._pulse.is_reached,
+        )
+        executor = Executor(self._state, self._board, placement, self._log)
+        return Desk(
+            self._state,
+            admission,
+            executor,
+            self._pulse.hurry,
+            self._settings.key_seconds,
+            self._counters,
+            self._log,
+        )
+
+    def _build_methods(self) -> dict[str, Method]:
+        return {
+            'grant': Method(definitions.GrantRequest, self._keeper.grant),
+            'group': Method(definitions.GroupNotice, self._leaders.take_notice),
+            'heard': Method(definitions.GroupInquiry, self._leaders.tell_heard),
+            'identify': Method(definitions.Empty, self._identify),
+        }
+
+    async def _identify(self, _request: object) -> object:
+        return definitions.GroupConfirmation(
+            incarnation=self._state.own.incarnation, heard_ms=0
+        )
+
+    async def _open(
+        self, entry: TargetEntry, organisation: str, seconds: float
+    ) -> TargetConnection:
+        names = (entry.group, organisation, entry.ident)
+        return await open_target(self._dial, entry.address, names, seconds)
+
+    async def _open_probe(
+        self, entry: TargetEntry, seconds: float
+    ) -> TargetConnection:
+        return await self._open(entry, _PROBE_NAME, seconds)
+
+    async def _update_board(self) -> None:
+        plan = self._state.plan
+        await self._board.update(
+            self._state.targets.values(),
+            plan.connections if plan else {},
+            len(self._state.instances),
+        )
+
+    async def _accept(self, sock: socket.socket) -> None:
+        async with sock:
+            while True:
+                client, _address = await sock.accept()
+                client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                await curio.spawn(
+                    serve_caller, client, self._desk, daemon=True
+                )
+
+    def _show_ready(self) -> tuple[int, str]:
+        if self._desk.is_ready:
+            return _OK, 'ready\n'
+        return _NOT_READY, 'not ready\n'
+
+    def _show_metrics(self) -> tuple[int, str]:
+        gauges = {
+            'sessions': float(len(self._desk.sessions)),
+            'plan_age_seconds': self._state.find_plan_age(read_clock()),
+            'log_lines_left_out': float(self._log.left_out),
+        }
+        return _OK, self._counters.format(gauges)
+
+    async def _shut_down(self, number: int) -> None:
+        seconds = self._settings.shutdown_seconds
+        began_at = read_clock()
+        self._log.write(
+            'stop', signal=number, sessions=len(self._desk.sessions)
+        )
+        self._desk.start_draining(seconds / 2)
+        await _spawn(self._leave)
+        give_up_at = began_at + seconds - _LEAVE_SECONDS
+        while read_clock() < give_up_at:
+            passed = read_clock() - began_at
+            await self._close_some(passed / _CLOSE_SECONDS)
+            if passed > _ROTATION_SECONDS and not self._desk.sessions:
+                break
+            await curio.sleep(_STEP_SECONDS)
+        self._log.write(
+            'stopped',
+            sessions=len(self._desk.sessions),
+            took=read_clock() - began_at,
+        )
+        self._log.flush()
+
+    async def _close_some(self, share: float) -> None:
+        """Close sessions at rest, a growing share of them."""
+        resting = [
+            session
+            for session in self._desk.sessions
+            if session.reading and self._desk.should_leave(session)
+        ]
+        for session in resting[: int(len(resting) * min(share, 1)) + 1]:
+            await session.reading.cancel(blocking=False)
+
+    async def _leave(self) -> None:
+        try:
+            await self._duty.leave()
+        except ComfreystairError as error:
+            self._log.write('duty_not_given_back', reason=error)
+
+
+def main() -> None:
+    """Run an instance with the settings that the environment names."""
+    logger.remove()
+    path = os.environ.get(SETTINGS_VARIABLE, '')
+    try:
+        settings = load_entry_settings(path)
+    except ComfreystairError as error:
+        sys.stderr.write(f'error: {error}\n')
+        sys.exit(EXIT_USAGE)
+    findings = check_entry_settings(settings)
+    for found in findings:
+        sys.stderr.write(f'{found.ident}: {found.message}; {found.hint}\n')
+    if any(found.level == LEVEL_ERROR for found in findings):
+        sys.exit(EXIT_USAGE)
+    curio.run(EntryInstance(settings).run)
+
+
+async def _spawn(call: Callable[..., Awaitable[None]], *given: object) -> None:
+    await curio.spawn(call, *given, daemon=True)
+
+
+def _listen(address: str) -> socket.socket:
+    host, _, port = address.rpartition(':')
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind((host, int(port)))
+    sock.listen(_BACKLOG)
+    return sock
+
+
+def _bound_silence(dial):
+    """Have the kernel end connections whose far end has gone silent."""
+
+    async def dial_bounded(address: str) -> socket.socket:
+        sock = await dial(address)
+        sock.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _SILENCE_MILLISECONDS
+        )
+        return sock
+
+    return dial_bounded
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/comfreystair/manifest/serving.py
@@ -0,0 +1,89 @@
+"""What the operators ask for, as the request path looks it up."""
+
+import enum
+from collections.abc import Iterable
+from typing import NamedTuple
+
+
+class Consistency(enum.Enum):
+    """What a read must see."""
+
+    primary = enum.auto()
+    bounded = enum.auto()
+    own_writes = enum.auto()
+
+
+class ServingRoute(NamedTuple):
+    """How the requests for one database are treated.
+
+    :param database: the name that callers connect to.
+    :param group: the database group that serves it.
+    :param max_age: a read may be this old, in seconds.
+    :param statement_seconds: bound on one statement.
+    :param aim_seconds: target for the latency of a whole operation.
+    :param priority: 0 goes first.
+    :param is_open: callers without a key may use it.
+    """
+
+    database: str
+    group: str
+    consistency: Consistency
+    max_age: float
+    statement_seconds: float
+    aim_seconds: float
+    priority: int
+    is_open: bool
+
+
+class Client(NamedTuple):
+    """An organisation with its limits over the whole fleet.
+
+    :param rate: operations a second.
+    :param burst: operations that may come at once.
+    """
+
+    name: str
+    keys: tuple[str, ...]
+    rate: float
+    burst: float
+
+
+class ServingPlan(NamedTuple):
+    """One version of what is asked for.
+
+    :param revision: of the store, rising with each version.
+    :param connections: limit of each target, by group.
+    :param idle_seconds: how long a transaction may rest.
+    """
+
+    revision: int
+    version: int
+    routes: dict[str, ServingRoute]
+    clients: dict[str, Client]
+    connections: dict[str, int]
+    idle_seconds: float
+    owners: dict[str, str]
+
+
+PUBLIC_CLIENT = 'public'
+
+
+def build_plan(
+    revision: int,
+    version: int,
+    routes: Iterable[ServingRoute],
+    clients: Iterable[Client],
+    connections: dict[str, int],
+    idle_seconds: float,
+) -> ServingPlan:
+    """Index routes by database and keys by their organisation."""
+    listed = tuple(clients)
+    return ServingPlan(
+        revision,
+        version,
+        {route.database: route for route in routes},
+        {client.name: client for client in listed},
+        connections,
+        idle_seconds,
+        {key: client.name for client in listed for key in client.keys},
+    )
--- a/comfreystair/peers/client.py
+++ b/comfreystair/peers/client.py
@@ -1,6 +1,7 @@
 """Call other daemons, many calls at a time on one connection for each."""
 
 import itertools
+import time
 
 import curio
 from curio import socket
@@ -37,20 +38,29 @@
         """Return the number of calls so far."""
         return self._sent_calls
 
-    async def call(self, address: str, method: str, body: object, kind: type):
+    async def call(
+        self,
+        address: str,
+        method: str,
+        body: object,
+        kind: type,
+        seconds: float = 0,
+    ):
         """Call a method and decode its answer.
 
+        :param seconds: bound on this call, 0 for the usual one.
         :raises PeerRefusedError: nobody listens at the address.
         :raises PeerError: there was no answer, or it was an error.
         """
         try:
-            async with curio.timeout_after(self._seconds):
+            async with curio.timeout_after(seconds or self._seconds):
                 channel = await self._find_channel(address)
                 wire = messages.encode(body)
                 self._sent_bytes += len(wire)
                 self._sent_calls += 1
                 answer = await channel.call(method, wire, self._secret)
         except curio.TaskTimeout as error:
+            await self._drop_silent(address)
             raise PeerError('no answer in time', method, address) from error
         except ConnectionRefusedError as error:
             raise PeerRefusedError('refused', method, address) from error
@@ -64,6 +74,13 @@
             await channel.close()
         self._channels.clear()
 
+    async def _drop_silent(self, address: str) -> None:
+        """Give up a connection on which no answer came for a whole call."""
+        channel = self._channels.get(address)
+        if channel is not None and channel.is_silent(self._seconds):
+            self._channels.pop(address)
+            await channel.close()
+
     async def _find_channel(self, address: str) -> '_Channel':
         channel = self._channels.get(address)
         if channel is None or channel.is_closed:
@@ -82,6 +99,11 @@
         self._pending: dict[int, _Pending] = {}
         self._lock = curio.Lock()
         self._is_closed = False
+        self._heard_at = time.monotonic()
+
+    def is_silent(self, seconds: float) -> bool:
+        """Tell whether nothing was received for some seconds."""
+        return time.monotonic() - self._heard_at >= seconds
 
     @property
     def is_closed(self) -> bool:
@@ -118,6 +140,7 @@
                 content = await messages.read_frame(stream)
                 if not content:
                     return
+                self._heard_at = time.monotonic()
                 reply = messages.decode(definitions.Reply, content)
                 pending = self._pending.get(reply.number)
                 if pending is not None:
--- a/comfreystair/peers/comfreystair.thrift
+++ b/comfreystair/peers/comfreystair.thrift
@@ -103,3 +103,34 @@
 struct Document {
     1: binary content
 }
+
+struct GrantRequest {
+    1: string organisation,
+    2: double wanted,
+    3: string keeper
+}
+
+struct Grant {
+    1: double tokens,
+    2: double retry_seconds,
+    3: bool is_keeper
+}
+
+// A group's record as it stands in the store.
+struct GroupNotice {
+    1: string group,
+    2: string primary,
+    3: i64 term,
+    4: bool is_changing,
+    5: i64 revision
+}
+
+// What the receiver last heard of the primary, in milliseconds; -1: never.
+struct GroupConfirmation {
+    1: string incarnation,
+    2: i64 heard_ms
+}
+
+struct GroupInquiry {
+    1: string group
+}
--- /dev/null
+++ b/comfreystair/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The users' platform at every edge: names, formats and calls."""
--- /dev/null
+++ b/comfreystair/platform/store.py
@@ -0,0 +1,160 @@
+"""The platform's metadata store."""
+
+import base64
+from collections.abc import Mapping
+from typing import Final
+from urllib.parse import urlencode
+
+import msgspec
+
+from comfreystair.coordination.records import Committed, Conflict, Item
+from comfreystair.platform.exceptions import (
+    PlatformError,
+    PlatformRefusedError,
+)
+from comfreystair.platform.http import HttpClient, Reply
+
+_OK: Final = 200
+_NOT_FOUND: Final = 404
+_CONFLICT: Final = 412
+_REFUSALS: Final = frozenset((429, 503))
+
+
+class _Item(msgspec.Struct, rename='pascal'):
+    key: str
+    value: str = ''
+    rev: int = 0
+    lease_id: int = 0
+
+
+class _Range(msgspec.Struct):
+    items: list[_Item]
+    has_more: bool = msgspec.field(name='HasMore', default=False)
+
+
+class _Conflict(msgspec.Struct):
+    items: list[_Item] = []
+
+
+class _Revision(msgspec.Struct, rename='pascal'):
+    rev: int = 0
+
+
+class _Lease(msgspec.Struct, rename='pascal'):
+    lease_id: int
+
+
+class Store:
+    """Read, compare-and-swap and lease.
+
+    Every call may raise :class:`PlatformError`; unless it is a
+    :class:`PlatformRefusedError`, a change may have been made, or may still
+    be made seconds later.
+    """
+
+    def __init__(self, http: HttpClient, seconds: float) -> None:
+        """Take the client.
+
+        :param seconds: bound on each call.
+        """
+        self._http = http
+        self._seconds = seconds
+
+    async def list(self, prefix: str, is_stale_ok: bool) -> dict[str, Item]:
+        """Return all keys with a prefix.
+
+        :param is_stale_ok: the answer may be seconds old, and costs less.
+        """
+        listed: dict[str, Item] = {}
+        after = ''
+        while True:
+            query = {'Prefix': prefix}
+            if after:
+                query['after'] = after
+            if is_stale_ok:
+                query['AllowStale'] = '1'
+            reply = await self._call('GET', f'/kv-range?{urlencode(query)}')
+            page = _decode(reply.body, _Range)
+            for item in page.items:
+                listed[item.key] = _convert(item)
+                after = item.key
+            if not page.has_more or not page.items:
+                return listed
+
+    async def change(
+        self,
+        expected: Mapping[str, int],
+        writes: Mapping[str, bytes] | None = None,
+        lease: int = 0,
+        leased: tuple[str, ...] = (),
+    ) -> Committed | Conflict:
+        """Write keys if others are at their revisions, all or nothing.
+
+        Without writes it proves that nothing has changed.
+
+        :param expected: revision by key, 0 for one that must not exist.
+        :param leased: which of the written keys end with the lease.
+        """
+        body = {
+            'Expected': [
+                {'Key': key, 'Rev': revision}
+                for key, revision in expected.items()
+            ],
+            'Writes': [
+                {
+                    'Key': key,
+                    'Value': base64.b64encode(blob).decode(),
+                    'LeaseId': lease if key in leased else 0,
+                }
+                for key, blob in (writes or {}).items()
+            ],
+            'Deletes': [],
+        }
+        reply = await self._call('POST', '/kv-txn', body)
+        if reply.status == _CONFLICT:
+            found = _decode(reply.body, _Conflict)
+            return Conflict({one.key: _convert(one) for one in found.items})
+        if reply.status != _OK:
+            return Conflict({})
+        return Committed(_decode(reply.body, _Revision).rev)
+
+    async def grant_lease(self, seconds: float) -> int:
+        """Return a new lease, which runs from the arrival of the call."""
+        body = {'TtlMs': int(seconds * 1000)}
+        reply = await self._call('POST', '/kv-lease', body)
+        return _decode(reply.body, _Lease).lease_id
+
+    async def keep_lease(self, lease: int) -> bool:
+        """Renew a lease; tell whether it still was one."""
+        reply = await self._call('POST', f'/kv-keep/{lease}', {})
+        return reply.status == _OK
+
+    async def end_lease(self, lease: int) -> None:
+        """End a lease with its keys."""
+        await self._call('DELETE', f'/kv-lease-end/{lease}')
+
+    async def _call(
+        self, method: str, path: str, body: object = None
+    ) -> Reply:
+        reply = await self._http.call(method, path, self._seconds, body)
+        if reply.status in _REFUSALS:
+            raise PlatformRefusedError(f'status {reply.status}', path)
+        if reply.status not in {_OK, _NOT_FOUND, _CONFLICT}:
+            reason = reply.body[:200].decode(errors='replace')
+            raise PlatformError(f'status {reply.status}: {reason}', path)
+        return reply
+
+
+def _convert(item: _Item) -> Item:
+    try:
+        blob = base64.b64decode(item.value, validate=True)
+    except ValueError:
+        blob = b''
+    return Item(blob, item.rev, item.lease_id)
+
+
+def _decode(body: bytes, kind):
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except msgspec.DecodeError as error:
+        raise PlatformError(str(error), 'decode') from error
--- /dev/null
+++ b/comfreystair/pooling/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to targets, shared by all sessions of an instance."""
--- /dev/null
+++ b/comfreystair/pooling/pool.py
@@ -0,0 +1,201 @@
+"""An instance's connections to one target."""
+
+import collections
+import itertools
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+import curio
+
+from comfreystair.clocks import read_clock
+from comfreystair.controllers.seats import (
+    Seat,
+    SeatController,
+    SeatDecision,
+    SeatMove,
+)
+from comfreystair.pooling.exceptions import PoolError, TargetLostError
+from comfreystair.pooling.members import Connection, TargetEntry
+from comfreystair.sessions.statements import Prepared
+
+# Bound on opening a connection, in seconds: a handshake takes 12 ms.
+_OPEN_SECONDS: Final = 0.4
+
+OpenConnection = Callable[[TargetEntry, str, float], Awaitable[Connection]]
+
+
+class Pooled:
+    """A connection with what was set and prepared on it."""
+
+    def __init__(self, connection: Connection, organisation: str) -> None:
+        """Take a fresh connection."""
+        self.connection = connection
+        self.organisation = organisation
+        self.values: dict[str, str] = {}
+        self.prepared: dict[Prepared, str] = {}
+        self.used_at = read_clock()
+        self._names = itertools.count(1)
+
+    def make_name(self) -> str:
+        """Return a name for a prepared statement, unique here."""
+        number = next(self._names)
+        return f'c{number}'
+
+
+class TargetPool:
+    """Connections to one life of one target."""
+
+    def __init__(
+        self, entry: TargetEntry, limit: int, open_connection: OpenConnection
+    ) -> None:
+        """Start without connections."""
+        self._entry = entry
+        self._open = open_connection
+        self._seats = SeatController(limit)
+        self._resting: dict[Seat, Pooled] = {}
+        self._waiting: collections.deque[curio.Event] = collections.deque()
+        self._is_closed = False
+
+    @property
+    def entry(self) -> TargetEntry:
+        """Return the target."""
+        return self._entry
+
+    @property
+    def held(self) -> int:
+        """Return connections in use."""
+        return self._seats.held
+
+    @property
+    def waiting(self) -> int:
+        """Return requests that wait for a connection."""
+        return len(self._waiting)
+
+    async def set_limit(self, limit: int) -> None:
+        """Change how many connections may be held."""
+        for seat in self._seats.set_limit(limit):
+            await self._close_resting(seat)
+
+    async def take(self, organisation: str, seconds: float) -> Pooled:
+        """Return a connection of an organisation.
+
+        :raises PoolError: none was free in time.
+        :raises TargetLostError: the target could not be reached.
+        :raises TargetRefusedError: the target refused.
+        """
+        decision = self._seats.decide(organisation)
+        if decision.move is SeatMove.wait:
+            decision = await self._wait(organisation, seconds)
+        if decision.move is SeatMove.reuse:
+            return self._resting.pop(decision.seat)
+        return await self._replace(decision, organisation, seconds)
+
+    async def give_back(self, pooled: Pooled) -> None:
+        """Return a connection that is ready for the next request."""
+        pooled.used_at = read_clock()
+        seat = None
+        if not self._is_closed:
+            seat = self._seats.rest(pooled.organisation)
+        if seat is None:
+            await pooled.connection.close()
+        else:
+            self._resting[seat] = pooled
+        await self._wake()
+
+    async def discard(self, pooled: Pooled) -> None:
+        """Close a connection whose state is not known."""
+        self._seats.drop()
+        await pooled.connection.close()
+        await self._wake()
+
+    async def close_resting(self) -> None:
+        """Close the connections that nobody uses."""
+        for seat in list(self._resting):
+            self._seats.forget(seat)
+            await self._close_resting(seat)
+
+    async def close(self) -> None:
+        """Close resting connections now and the others when given back."""
+        self._is_closed = True
+        await self.close_resting()
+
+    async def _wait(self, organisation: str, seconds: float) -> SeatDecision:
+        deadline = read_clock() + seconds
+        while True:
+            event = curio.Event()
+            self._waiting.append(event)
+            try:
+                async with curio.ignore_after(deadline - read_clock()):
+                    await event.wait()
+            finally:
+                was_woken = event.is_set()
+                if not was_woken:
+                    self._waiting.remove(event)
+            if not was_woken:
+                raise PoolError('no connection free', 'take', self._entry.ident)
+            decision = self._seats.decide(organisation)
+            if decision.move is not SeatMove.wait:
+                return decision
+
+    async def _replace(
+        self, decision: SeatDecision, organisation: str, seconds: float
+    ) -> Pooled:
+        opened: Connection | None = None
+        try:
+            if decision.seat is not None:
+                await self._close_resting(decision.seat)
+            bound = min(seconds, _OPEN_SECONDS)
+            opened = await self._open(self._entry, organisation, bound)
+        finally:
+            if opened is None:
+                self._seats.drop()
+                await self._wake()
+        return Pooled(opened, organisation)
+
+    async def _close_resting(self, seat: Seat) -> None:
+        pooled = self._resting.pop(seat, None)
+        if pooled is not None:
+            await pooled.connection.close()
+
+    async def _wake(self) -> None:
+        if self._waiting:
+            await self._waiting.popleft().set()
+
+
+async def align(
+    pooled: Pooled, values: dict[str, str], seconds: float
+) -> None:
+    """Give a connection exactly a session's values.
+
+    :raises TargetLostError: when the target did not confirm them.
+    """
+    connection = pooled.connection
+    if pooled.values.keys() - values.keys():
+        _check(await connection.reset(seconds), 'reset')
+        pooled.values = {}
+        pooled.prepared = {}
+    for name, text in values.items():
+        if pooled.values.get(name) != text:
+            _check(await connection.set_value(name, text, seconds), 'set')
+            pooled.values[name] = text
+
+
+async def find_name(
+    pooled: Pooled, prepared: Prepared, seconds: float
+) -> str:
+    """Return what a prepared statement is called on a connection.
+
+    :raises TargetLostError: when the target did not prepare it.
+    """
+    name = pooled.prepared.get(prepared)
+    if name is None:
+        name = pooled.make_name()
+        answer = await pooled.connection.prepare(name, prepared, seconds)
+        _check(answer, 'prepare')
+        pooled.prepared[prepared] = name
+    return name
+
+
+def _check(answer, step: str) -> None:
+    if answer.failure is not None:
+        raise TargetLostError(answer.failure.name, step)
--- /dev/null
+++ b/comfreystair/sessions/__init__.py
@@ -0,0 +1,1 @@
+"""A caller's session, whatever protocol it speaks."""
--- /dev/null
+++ b/comfreystair/sessions/desk.py
@@ -0,0 +1,324 @@
+"""Take callers' statements: access, rate, session state, execution."""
+
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+import curio
+
+from comfreystair.clocks import read_clock
+from comfreystair.coordination.admission import Admission
+from comfreystair.coordination.state import FleetState
+from comfreystair.manifest.serving import PUBLIC_CLIENT, ServingRoute
+from comfreystair.observability.counters import Counters
+from comfreystair.observability.decisions import DecisionLog
+from comfreystair.sessions.execution import Executor
+from comfreystair.sessions.session import Session, Transaction
+from comfreystair.sessions.statements import (
+    DONE,
+    Answer,
+    Failure,
+    Phase,
+    Prepared,
+    Statement,
+    StatementKind,
+    fail,
+)
+
+# One success in this many is logged.
+_SAMPLE_EVERY: Final = 50
+# How long an unknown database or key waits for a younger plan, in seconds.
+_PLAN_WAIT_SECONDS: Final = 1.5
+# A plan this young may refuse a database or key, in seconds.
+_REFUSAL_AGE_SECONDS: Final = 1.5
+_LOOK_SECONDS: Final = 0.05
+# Kept of the time in which a withdrawn key must stop, in seconds.
+_KEY_MARGIN_SECONDS: Final = 0.3
+_MILLISECONDS: Final = 1000
+_DATA_KINDS: Final = frozenset(
+    (StatementKind.read, StatementKind.write, StatementKind.execute)
+)
+_BEGIN_KINDS: Final = frozenset(
+    (StatementKind.begin, StatementKind.begin_read)
+)
+_END_KINDS: Final = frozenset((StatementKind.commit, StatementKind.rollback))
+
+
+class Desk:
+    """All sessions of this instance."""
+
+    def __init__(
+        self,
+        state: FleetState,
+        admission: Admission,
+        executor: Executor,
+        hurry: Callable[[], Awaitable[None]],
+        key_seconds: float,
+        counters: Counters,
+        log: DecisionLog,
+    ) -> None:
+        """Take the parts.
+
+        :param hurry: asks for a proof now.
+        :param key_seconds: within which a withdrawn key must stop.
+        """
+        self._state = state
+        self._admission = admission
+        self._executor = executor
+        self._hurry = hurry
+        self._plan_seconds = key_seconds - _KEY_MARGIN_SECONDS
+        self._counters = counters
+        self._log = log
+        self._sessions: set[Session] = set()
+        self._leave_at = float('inf')
+        self._successes = 0
+
+    @property
+    def sessions(self) -> set[Session]:
+        """Return the open sessions."""
+        return self._sessions
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether new callers should come here."""
+        age = self._state.find_plan_age(read_clock())
+        return not self._state.is_draining and age < self._plan_seconds
+
+    def start_draining(self, transaction_seconds: float) -> None:
+        """Let sessions end, open transactions after some time."""
+        self._state.is_draining = True
+        self._leave_at = read_clock() + transaction_seconds
+
+    def should_leave(self, session: Session) -> bool:
+        """Tell whether a session without a request is to be closed."""
+        if not self._state.is_draining:
+            return False
+        is_idle = session.phase is Phase.idle
+        return is_idle or read_clock() >= self._leave_at
+
+    async def open(
+        self, database: str, key: str
+    ) -> tuple[Session, Answer | None]:
+        """Return a new session and, if it may not be, why."""
+        session = Session(database, key)
+        refusal = await self._check_patiently(session)
+        if refusal is None:
+            self._sessions.add(session)
+        else:
+            self._note_refusal('-', session, refusal)
+        return session, refusal
+
+    async def close(self, session: Session) -> None:
+        """End a session and roll back what it left open."""
+        self._sessions.discard(session)
+        if session.transaction is not None:
+            await self._executor.end(session.transaction)
+            session.transaction = None
+
+    async def handle(self, session: Session, statement: Statement) -> Answer:
+        """Run one statement."""
+        started_at = read_clock()
+        if session.phase is Phase.in_failed_transaction:
+            answer = _end_failed(session, statement)
+        elif statement.kind in _DATA_KINDS or statement.kind in _END_KINDS:
+            answer = await self._run(session, statement)
+        elif statement.kind in _BEGIN_KINDS:
+            answer = await self._begin(session, statement)
+        else:
+            answer = _keep(session, statement)
+        await self._settle(session, statement, answer)
+        self._note(session, statement, answer, read_clock() - started_at)
+        return answer
+
+    async def _run(self, session: Session, statement: Statement) -> Answer:
+        transaction = session.transaction
+        is_ending = statement.kind in _END_KINDS
+        if is_ending and transaction is None:
+            return fail(Failure.malformed, 'no transaction is open')
+        if statement.kind is StatementKind.rollback:
+            await self._executor.end(transaction)
+            return DONE
+        is_execute = statement.kind is StatementKind.execute
+        if is_execute and statement.name not in session.prepared:
+            return fail(Failure.unknown_statement, 'not prepared here')
+        refusal = self._check(session)
+        if refusal is not None:
+            return refusal
+        organisation = self._find_organisation(session)
+        if transaction is not None:
+            return await self._executor.run_in_transaction(
+                session, organisation, statement
+            )
+        limited = await self._admit(organisation)
+        if limited is not None:
+            return limited
+        route = self._find_route(session)
+        if route is None:
+            return fail(Failure.unknown_database, 'no route has this name')
+        return await self._executor.run_single(
+            session, route, organisation, statement
+        )
+
+    async def _begin(self, session: Session, statement: Statement) -> Answer:
+        """Open a transaction here; its target is chosen later."""
+        if session.transaction is not None:
+            return fail(Failure.malformed, 'a transaction is open')
+        refusal = self._check(session)
+        if refusal is not None:
+            return refusal
+        limited = await self._admit(self._find_organisation(session))
+        if limited is not None:
+            return limited
+        route = self._find_route(session)
+        if route is None:
+            return fail(Failure.unknown_database, 'no route has this name')
+        is_read_only = statement.kind is StatementKind.begin_read
+        session.transaction = Transaction(route, is_read_only, read_clock())
+        return DONE
+
+    async def _settle(
+        self, session: Session, statement: Statement, answer: Answer
+    ) -> None:
+        """Bring the session's transaction to where the answer leaves it."""
+        transaction = session.transaction
+        if transaction is None:
+            return
+        if statement.kind in _END_KINDS:
+            if answer.failure is None and transaction.pooled is not None:
+                await transaction.pool.give_back(transaction.pooled)
+                transaction.pooled = None
+            await self._executor.end(transaction)
+            session.transaction = None
+        elif answer.failure is not None and not transaction.is_failed:
+            transaction.is_failed = True
+            await self._executor.end(transaction)
+
+    async def _admit(self, organisation: str) -> Answer | None:
+        retry = await self._admission.admit(organisation)
+        if retry is None:
+            return None
+        milliseconds = int(retry * _MILLISECONDS)
+        return fail(
+            Failure.overloaded,
+            f'rate limit, not run, retry after {milliseconds} ms',
+        )
+
+    async def _check_patiently(self, session: Session) -> Answer | None:
+        """Check access; wait for a younger plan before refusing for good."""
+        give_up_at = read_clock() + _PLAN_WAIT_SECONDS
+        asked_at = read_clock()
+        refusal = self._check(session)
+        while refusal is not None and read_clock() < give_up_at:
+            if self._state.plan_proved_at > asked_at - _REFUSAL_AGE_SECONDS:
+                break
+            await self._hurry()
+            await curio.sleep(_LOOK_SECONDS)
+            refusal = self._check(session)
+        return refusal
+
+    def _check(self, session: Session) -> Answer | None:
+        """Return why a session may not run statements now."""
+        plan = self._state.plan
+        age = self._state.find_plan_age(read_clock())
+        if plan is None:
+            return fail(Failure.overloaded, 'starting, retry after 500 ms')
+        is_recent = age < _REFUSAL_AGE_SECONDS
+        route = plan.routes.get(session.database)
+        if route is None and session.transaction is None:
+            if is_recent:
+                return fail(Failure.unknown_database, 'no route has this name')
+            return _refuse_unproved(age)
+        if route is not None and route.is_open:
+            return None
+        if age > self._plan_seconds:
+            return _refuse_unproved(age)
+        if session.key not in plan.owners:
+            return fail(Failure.unauthenticated, 'the key is not known')
+        return None
+
+    def _find_organisation(self, session: Session) -> str:
+        plan = self._state.plan
+        owners = plan.owners if plan else {}
+        return owners.get(session.key, PUBLIC_CLIENT)
+
+    def _find_route(self, session: Session) -> ServingRoute | None:
+        plan = self._state.plan
+        return plan.routes.get(session.database) if plan else None
+
+    def _note(
+        self,
+        session: Session,
+        statement: Statement,
+        answer: Answer,
+        seconds: float,
+    ) -> None:
+        kind = statement.kind.name
+        if answer.failure is not None:
+            self._counters.count(f'{kind}_{answer.failure.name}')
+            self._note_refusal(statement.ident, session, answer, seconds)
+            return
+        self._counters.count(f'{kind}_done')
+        self._counters.time(seconds)
+        self._successes += 1
+        if not self._successes % _SAMPLE_EVERY:
+            self._log.write(
+                'served',
+                id=statement.ident,
+                kind=kind,
+                database=session.database,
+                took=seconds,
+                signature=answer.signature,
+            )
+
+    def _note_refusal(
+        self,
+        ident: str,
+        session: Session,
+        answer: Answer,
+        seconds: float = 0,
+    ) -> None:
+        plan = self._state.plan
+        self._log.write(
+            'not_served',
+            id=ident,
+            database=session.database,
+            organisation=self._find_organisation(session),
+            failure=answer.failure.name if answer.failure else '',
+            why=answer.detail,
+            phase=session.phase.name,
+            took=seconds,
+            plan=plan.version if plan else 0,
+            plan_age=self._state.find_plan_age(read_clock()),
+        )
+
+
+def _refuse_unproved(age: float) -> Answer:
+    return fail(
+        Failure.overloaded,
+        f'plan not confirmed for {age:.1f} s, retry after 500 ms',
+    )
+
+
+def _end_failed(session: Session, statement: Statement) -> Answer:
+    """Answer inside a failed transaction, which can only be rolled back."""
+    if statement.kind is StatementKind.rollback:
+        return DONE
+    if statement.kind is StatementKind.commit:
+        return fail(Failure.aborted, 'the transaction had failed')
+    return fail(Failure.malformed, 'the transaction has failed')
+
+
+def _keep(session: Session, statement: Statement) -> Answer:
+    """Answer what concerns the session alone."""
+    kind, name = statement.kind, statement.name
+    if kind is StatementKind.set_value:
+        session.values[name] = statement.argument
+    elif kind is StatementKind.prepare_read:
+        session.prepared[name] = Prepared(statement.argument, False)
+    elif kind is StatementKind.prepare_write:
+        session.prepared[name] = Prepared(statement.argument, True)
+    elif kind is StatementKind.close:
+        if session.prepared.pop(name, None) is None:
+            return fail(Failure.unknown_statement, 'not prepared here')
+    else:
+        return fail(Failure.malformed, 'not a statement')
+    return DONE
--- /dev/null
+++ b/comfreystair/sessions/placement.py
@@ -0,0 +1,120 @@
+"""Find the target for a statement, waiting where waiting is of use."""
+
+import random
+from collections.abc import Awaitable, Callable
+from typing import Final, NamedTuple
+
+from comfreystair.clocks import read_clock
+from comfreystair.controllers.positions import Position
+from comfreystair.controllers.selection import choose_target
+from comfreystair.coordination.state import FleetState, GroupState
+from comfreystair.manifest.serving import Consistency, ServingRoute
+from comfreystair.pooling.board import TargetBoard
+from comfreystair.pooling.pool import TargetPool
+
+# How long to wait before looking again, in seconds.
+_LOOK_SECONDS: Final = 0.03
+# Share of a statement's time that it may wait for a primary to be known.
+_WAIT_SHARE: Final = 0.8
+
+
+class Place(NamedTuple):
+    """Where a statement runs.
+
+    :param floor: position that the log must hold, absent at a primary.
+    :param is_primary: the target is used as the primary.
+    """
+
+    pool: TargetPool
+    floor: Position | None
+    is_primary: bool
+
+
+class Need(NamedTuple):
+    """What a statement needs of its target.
+
+    :param read_at: when the read or its transaction began.
+    :param floor: position of the session's own writes.
+    :param tried: targets that failed it already.
+    """
+
+    route: ServingRoute
+    must_be_primary: bool
+    read_at: float
+    floor: Position | None
+    tried: set[str]
+
+
+class Placement:
+    """Choose targets from what the fleet and this instance know."""
+
+    def __init__(
+        self,
+        state: FleetState,
+        board: TargetBoard,
+        hurry: Callable[[], Awaitable[None]],
+        is_store_reached: Callable[[], bool],
+    ) -> None:
+        """Take the parts.
+
+        :param hurry: asks for a proof now.
+        """
+        self._state = state
+        self._board = board
+        self._hurry = hurry
+        self._is_store_reached = is_store_reached
+
+    async def find(self, need: Need, deadline: float) -> Place | None:
+        """Return a place, or nothing when there will be none in time."""
+        group = self._state.find_group(need.route.group)
+        remaining = deadline - read_clock()
+        give_up_at = read_clock() + remaining * _WAIT_SHARE
+        while True:
+            place = self._look(need, group)
+            if place is not None:
+                return place
+            if read_clock() >= give_up_at or self._is_hopeless(group):
+                return None
+            await group.wait(_LOOK_SECONDS)
+
+    def _is_hopeless(self, group: GroupState) -> bool:
+        """Tell whether there is no primary, and no way to learn of one."""
+        if self._is_store_reached() or group.leadership.record.is_changing:
+            return False
+        return not group.leadership.find_primary(read_clock())
+
+    def _look(self, need: Need, group: GroupState) -> Place | None:
+        now = read_clock()
+        primary = group.leadership.find_primary(now)
+        if need.must_be_primary:
+            return self._use_primary(primary, need, now)
+        since = need.read_at - need.route.max_age
+        floor = group.leadership.find_floor(since)
+        if floor is None:
+            return self._use_primary(primary, need, now)
+        if need.route.consistency is Consistency.own_writes and need.floor:
+            floor = max(floor, need.floor)
+        entries = [
+            one
+            for one in self._state.list_targets(need.route.group)
+            if one.ident not in need.tried
+        ]
+        ident = choose_target(
+            self._board.list_candidates(entries, primary),
+            floor,
+            now,
+            random.random,
+        )
+        pool = self._board.find_pool(ident)
+        if pool is None:
+            return None
+        is_primary = ident == primary
+        return Place(pool, None if is_primary else floor, is_primary)
+
+    def _use_primary(
+        self, primary: str, need: Need, now: float
+    ) -> Place | None:
+        pool = self._board.find_pool(primary)
+        if pool is None or self._board.find_health(primary).is_paused(now):
+            return None
+        return Place(pool, None, is_primary=True)
