Kept the keepers' burst usable: grants live a quarter of a second

Cause: what is granted may be spent late, so a keeper holds back rate x life of its burst; with a life of 1 s and bursts of one second's rate that left one token.

--- a/comfreystair/controllers/grants.py
+++ b/comfreystair/controllers/grants.py
@@ -11,11 +11,12 @@
 
 # How long granted tokens may be spent, in seconds, from when they were asked
 # for. A keeper holds its burst back by what may be spent late.
-GRANT_SECONDS: Final = 1.0
-# Tokens are asked for this much ahead of demand, in seconds.
-_AHEAD_SECONDS: Final = 0.25
+GRANT_SECONDS: Final = 0.25
+# Tokens are asked for this much ahead of demand, in seconds: what is not spent
+# in time is lost to all.
+_AHEAD_SECONDS: Final = 0.1
 _DEMAND_SECONDS: Final = 1.0
-_MOST_AHEAD: Final = 6
+_MOST_AHEAD: Final = 4
 _WHOLE: Final = 0.999999
 _LEAST_RATE: Final = 0.001
 # Bound on the advice when to come back, in seconds.
--- a/comfreystair/coordination/admission.py
+++ b/comfreystair/coordination/admission.py
@@ -61,19 +61,14 @@
             keeper = self._state.keepers.get(zone)
             if keeper is None:
                 continue
-            retry = min(retry, self._find_wait(zone, organisation))
             asked_at = read_clock()
             granted = await self._ask(zone, keeper, organisation, wanted)
             wallet.add(granted.tokens, asked_at)
             if wallet.spend(read_clock()):
                 return None
+            retry = min(retry, granted.retry_seconds)
         return retry
 
-    def _find_wait(self, zone: str, organisation: str) -> float:
-        until = self._empty_until.get((zone, organisation), float('-inf'))
-        wait = until - read_clock()
-        return wait if wait > 0 else _NO_KEEPER_RETRY_SECONDS
-
     async def _ask(
         self,
         zone: str,
@@ -84,9 +79,10 @@
         now = read_clock()
         place = (zone, organisation)
         if self._avoided.get(keeper.incarnation, now) > now:
-            return Granted(0, 0)
-        if self._empty_until.get(place, now) > now:
-            return Granted(0, 0)
+            return Granted(0, _NO_KEEPER_RETRY_SECONDS)
+        empty_until = self._empty_until.get(place, now)
+        if empty_until > now:
+            return Granted(0, empty_until - now)
         request = definitions.GrantRequest(
             organisation=organisation, wanted=wanted, keeper=zone
         )
@@ -97,7 +93,7 @@
         except PeerError as error:
             self._avoided[keeper.incarnation] = now + _AVOID_SECONDS
             self._log.write('keeper_lost', zone=zone, reason=error)
-            return Granted(0, 0)
+            return Granted(0, _NO_KEEPER_RETRY_SECONDS)
         if not grant.tokens:
             self._empty_until[place] = now + grant.retry_seconds
         return Granted(grant.tokens, grant.retry_seconds)
