--- a/comfreystair/controllers/leadership.py
+++ b/comfreystair/controllers/leadership.py
@@ -114,9 +114,9 @@
         if asked_at - last >= _SAMPLE_STEP_SECONDS:
             self._samples.append(Sample(asked_at, position))
 
-    def find_floor(self, since: float) -> Position | None:
+    def find_sample(self, since: float) -> Sample | None:
         """Return a position above all writes acknowledged before a time."""
         for sample in self._samples:
             if sample.asked_at >= since:
-                return sample.position
+                return sample
         return None
--- a/comfreystair/controllers/selection.py
+++ b/comfreystair/controllers/selection.py
@@ -16,11 +16,27 @@
 _GAIN: Final = 0.25
 # The average decays towards nothing with this half-life, in seconds.
 _HALF_LIFE_SECONDS: Final = 1.0
+_HALF: Final = 0.5
+_MOST_HALVINGS: Final = 20
 # A target that failed is left alone this long, doubling, in seconds.
 _FIRST_PAUSE_SECONDS: Final = 0.3
 _MAX_PAUSE_SECONDS: Final = 2.4
-# A replica that was behind a floor is left alone this long, in seconds.
-_LAG_PAUSE_SECONDS: Final = 0.15
+# Added to the lag that a replica has shown, in seconds.
+_LAG_MARGIN_SECONDS: Final = 0.02
+# An estimate of a replica's lag halves in this time, in seconds.
+_LAG_HALF_LIFE_SECONDS: Final = 1.5
+# What a new connection costs the request and the target's slots, in seconds.
+_OPEN_SECONDS: Final = 0.016
+
+
+class Floor(NamedTuple):
+    """A position that a read must see.
+
+    :param known_at: when the primary's log held it already.
+    """
+
+    position: Position
+    known_at: float
 
 
 class TargetHealth:
@@ -32,7 +48,8 @@
         self._updated_at = float('-inf')
         self._failures = 0
         self._paused_until = float('-inf')
-        self._lagging_until = float('-inf')
+        self._lag = 0.0
+        self._lagged_at = float('-inf')
         self._position: Position | None = None
 
     @property
@@ -62,44 +79,56 @@
         """Leave a full target alone for a while."""
         self._paused_until = max(self._paused_until, now + seconds)
 
-    def lag(self, now: float) -> None:
-        """Take in that the log lacked a floor."""
-        self._lagging_until = now + _LAG_PAUSE_SECONDS
+    def lag(self, floor_age: float, now: float) -> None:
+        """Take in that the log lacked a floor of some age, in seconds."""
+        shown = floor_age + _LAG_MARGIN_SECONDS
+        self._lag = max(self._find_lag(now), shown)
+        self._lagged_at = now
 
     def find_latency(self, now: float) -> float:
         """Return the decayed average latency, in seconds."""
         passed = now - self._updated_at
-        return self._latency * 0.5 ** min(passed / _HALF_LIFE_SECONDS, 20)
+        return self._latency * _HALF ** min(
+            passed / _HALF_LIFE_SECONDS, _MOST_HALVINGS
+        )
 
     def is_paused(self, now: float) -> bool:
         """Tell whether the target is to be left alone."""
         return now < self._paused_until
 
-    def may_hold(self, floor: Position | None, now: float) -> bool:
-        """Tell whether the log may hold all up to a floor."""
-        if floor is None:
-            return True
-        if self._position is not None and covers(self._position, floor):
+    def may_hold(self, floor: Floor, now: float) -> bool:
+        """Tell whether the log is likely to hold all up to a floor."""
+        if self._position is not None and covers(
+            self._position, floor.position
+        ):
             return True
-        return now >= self._lagging_until
+        return now - floor.known_at >= self._find_lag(now)
+
+    def _find_lag(self, now: float) -> float:
+        passed = now - self._lagged_at
+        return self._lag * _HALF ** min(
+            passed / _LAG_HALF_LIFE_SECONDS, _MOST_HALVINGS
+        )
 
 
 class Candidate(NamedTuple):
     """A target that could run a read.
 
     :param load: requests of this instance there, for each of its slots.
+    :param is_open: a connection for the organisation rests there.
     """
 
     ident: str
     is_near: bool
     is_primary: bool
     load: float
+    is_open: bool
     health: TargetHealth
 
 
 def choose_target(
     candidates: Iterable[Candidate],
-    floor: Position | None,
+    floor: Floor,
     now: float,
     draw: Callable[[], float],
 ) -> str:
@@ -119,4 +148,5 @@
 def _score(one: Candidate, now: float) -> float:
     wait = one.health.find_latency(now) * (1 + one.load)
     distance = 0 if one.is_near else _FAR_SECONDS
-    return wait + distance + (_PRIMARY_SECONDS if one.is_primary else 0)
+    opening = 0 if one.is_open else _OPEN_SECONDS
+    return wait + distance + opening + (_PRIMARY_SECONDS * one.is_primary)
--- a/comfreystair/platform/callers.py
+++ b/comfreystair/platform/callers.py
@@ -59,7 +59,7 @@
 async def _converse(
     sock: socket.socket, reader: LineReader, desk: Desk, session: Session
 ) -> None:
-    await _send(sock, format_ready(session.phase, session.floor))
+    await _send(sock, format_ready(session.phase, session.position))
     while not desk.should_leave(session):
         line = await _read_request(reader, desk, session)
         if not line or line == 'BYE':
@@ -69,7 +69,7 @@
         if word != 'QUERY' or not text:
             raise MalformedError('a line that is no QUERY', 'query')
         answer = await desk.handle(session, parse_statement(ident, text))
-        ready = format_ready(session.phase, session.floor)
+        ready = format_ready(session.phase, session.position)
         await _send(sock, f'{_format_answer(answer)}{ready}')
 
 
--- a/comfreystair/pooling/board.py
+++ b/comfreystair/pooling/board.py
@@ -56,7 +56,10 @@
         return self._health.get(ident) or TargetHealth()
 
     def list_candidates(
-        self, entries: Iterable[TargetEntry], primary: str
+        self,
+        entries: Iterable[TargetEntry],
+        primary: str,
+        organisation: str,
     ) -> list[Candidate]:
         """Return the targets that take new work."""
         found: list[Candidate] = []
@@ -70,6 +73,7 @@
                     entry.zone == self._zone,
                     entry.ident == primary,
                     (pool.held + 2 * pool.waiting) / entry.slots,
+                    pool.has_resting(organisation),
                     self._health[entry.ident],
                 )
             )
--- a/comfreystair/pooling/pool.py
+++ b/comfreystair/pooling/pool.py
@@ -71,6 +71,10 @@
         """Return requests that wait for a connection."""
         return len(self._waiting)
 
+    def has_resting(self, organisation: str) -> bool:
+        """Tell whether a connection of an organisation rests."""
+        return self._seats.has_resting(organisation)
+
     async def set_limit(self, limit: int) -> None:
         """Change how many connections may be held."""
         for seat in self._seats.set_limit(limit):
--- a/comfreystair/sessions/execution.py
+++ b/comfreystair/sessions/execution.py
@@ -72,7 +72,9 @@
         prepared = session.prepared.get(statement.name)
         is_write = is_writing(statement, prepared)
         needs_primary = is_write or route.consistency is Consistency.primary
-        need = Need(route, needs_primary, now, session.floor, set())
+        need = Need(
+            route, organisation, needs_primary, now, session.floor, set()
+        )
         answer = fail(Failure.overloaded, _RETRY_ADVICE)
         for attempt in range(_MOST_ATTEMPTS):
             place = await self._placement.find(need, deadline)
@@ -146,7 +148,7 @@
             )
             if is_write and answer.failure is None:
                 answer = await self._acknowledge(group, place, answer)
-                session.raise_floor(answer.position)
+                session.raise_floor(answer.position, read_clock())
         finally:
             if is_write:
                 group.writes -= 1
@@ -185,7 +187,7 @@
             asked_at = read_clock()
             is_sent = True
             answer = await pooled.connection.forward(
-                statement, place.floor, name, max(deadline - asked_at, 0.01)
+                statement, place.position, name, max(deadline - asked_at, 0.01)
             )
             is_whole = True
         except TargetLostError as error:
@@ -212,7 +214,12 @@
             or route.consistency is Consistency.primary
         )
         need = Need(
-            route, needs_primary, transaction.began_at, session.floor, set()
+            route,
+            organisation,
+            needs_primary,
+            transaction.began_at,
+            session.floor,
+            set(),
         )
         answer = fail(Failure.overloaded, _RETRY_ADVICE)
         for _attempt in range(_MOST_ATTEMPTS):
@@ -247,7 +254,7 @@
             await align(taken, session.values, seconds)
             answer = await taken.connection.begin(
                 transaction.is_read_only,
-                place.floor,
+                place.position,
                 max(deadline - read_clock(), 0.01),
             )
             has_begun = answer.failure is None
@@ -283,7 +290,7 @@
             is_whole = True
             if is_deciding and answer.failure is None:
                 answer = await self._acknowledge(group, place, answer)
-                session.raise_floor(answer.position)
+                session.raise_floor(answer.position, read_clock())
         except TargetLostError as error:
             await self._note_lost(place, error)
             lost = Failure.in_doubt if is_deciding else Failure.aborted
@@ -348,7 +355,8 @@
         if answer.failure is Failure.overloaded:
             health.shed(_SHED_SECONDS, now)
         elif answer.failure is Failure.lagging:
-            health.lag(now)
+            known_at = place.floor.known_at if place.floor else now
+            health.lag(now - known_at, now)
         else:
             health.succeed(now - asked_at, answer.position, now)
         leadership = group.leadership
@@ -386,7 +394,10 @@
             'retry',
             id=statement.ident,
             target=place.pool.entry.ident,
-            floor=place.floor,
+            floor=place.position,
+            floor_age=read_clock() - place.floor.known_at
+            if place.floor
+            else 0.0,
             failure=answer.failure.name if answer.failure else '',
         )
 
--- a/comfreystair/sessions/placement.py
+++ b/comfreystair/sessions/placement.py
@@ -6,7 +6,7 @@
 
 from comfreystair.clocks import read_clock
 from comfreystair.controllers.positions import Position
-from comfreystair.controllers.selection import choose_target
+from comfreystair.controllers.selection import Floor, choose_target
 from comfreystair.coordination.state import FleetState, GroupState
 from comfreystair.manifest.serving import Consistency, ServingRoute
 from comfreystair.pooling.board import TargetBoard
@@ -26,9 +26,14 @@
     """
 
     pool: TargetPool
-    floor: Position | None
+    floor: Floor | None
     is_primary: bool
 
+    @property
+    def position(self) -> Position | None:
+        """Return the position that the log must hold."""
+        return self.floor.position if self.floor else None
+
 
 class Need(NamedTuple):
     """What a statement needs of its target.
@@ -39,9 +44,10 @@
     """
 
     route: ServingRoute
+    organisation: str
     must_be_primary: bool
     read_at: float
-    floor: Position | None
+    floor: Floor | None
     tried: set[str]
 
 
@@ -89,9 +95,10 @@
         if need.must_be_primary:
             return self._use_primary(primary, need, now)
         since = need.read_at - need.route.max_age
-        floor = group.leadership.find_floor(since)
-        if floor is None:
+        sample = group.leadership.find_sample(since)
+        if sample is None:
             return self._use_primary(primary, need, now)
+        floor = Floor(sample.position, sample.asked_at)
         if need.route.consistency is Consistency.own_writes and need.floor:
             floor = max(floor, need.floor)
         entries = [
@@ -100,7 +107,9 @@
             if one.ident not in need.tried
         ]
         ident = choose_target(
-            self._board.list_candidates(entries, primary),
+            self._board.list_candidates(
+                entries, primary, need.organisation
+            ),
             floor,
             now,
             random.random,
--- a/comfreystair/sessions/session.py
+++ b/comfreystair/sessions/session.py
@@ -1,6 +1,7 @@
 """What a caller's session holds between its statements."""
 
 from comfreystair.controllers.positions import Position
+from comfreystair.controllers.selection import Floor
 from comfreystair.manifest.serving import ServingRoute
 from comfreystair.pooling.pool import Pooled, TargetPool
 from comfreystair.sessions.statements import Phase, Prepared
@@ -36,7 +37,7 @@
         self.key = key
         self.values: dict[str, str] = {}
         self.prepared: dict[str, Prepared] = {}
-        self.floor: Position | None = None
+        self.floor: Floor | None = None
         self.transaction: Transaction | None = None
         self.reading = None
 
@@ -49,9 +50,14 @@
             return Phase.in_failed_transaction
         return Phase.in_transaction
 
-    def raise_floor(self, position: Position | None) -> None:
+    @property
+    def position(self) -> Position | None:
+        """Return the position of the newest own write."""
+        return self.floor.position if self.floor else None
+
+    def raise_floor(self, position: Position | None, now: float) -> None:
         """Take in the position of an own write."""
         if position is not None and (
-            self.floor is None or position > self.floor
+            self.floor is None or position > self.floor.position
         ):
-            self.floor = position
+            self.floor = Floor(position, now)
