Took a refused connection no longer as proof that a process has ended

Ruled out: a late STEPDOWN, which was sent and lost. Instances that do not confirm are now waited for until their proofs have run out. Besides, an instance that shuts down ends at once after its last line; curio raised while ending tasks.

--- a/comfreystair/coordination/keepers.py
+++ b/comfreystair/coordination/keepers.py
@@ -1,8 +1,8 @@
 """Have one keeper of tokens in each availability zone.
 
 The duty is a leased key. It passes on when the lease ends, or at once when
-the holder's process is proved to have ended: nobody listens at its address,
-or another life of it answers.
+the holder's process is proved to have ended, because another life of it
+answers.
 """
 
 import random
@@ -26,7 +26,7 @@
 from comfreystair.coordination.state import FleetState
 from comfreystair.exceptions import ComfreystairError
 from comfreystair.observability.decisions import DecisionLog
-from comfreystair.peers import PeerClients, PeerError, PeerRefusedError
+from comfreystair.peers import PeerClients, PeerError
 from comfreystair.peers.messages import definitions
 
 # Life of the duty without renewal, in seconds: it outlasts an outage of the
@@ -182,7 +182,11 @@
 
 
 async def is_ended(peers: PeerClients, holder) -> bool:
-    """Tell whether one life of an instance is proved to have ended."""
+    """Tell whether one life of an instance is proved to have ended.
+
+    Only another life's answer proves it: a partition may refuse connections
+    to a process that still runs.
+    """
     try:
         answer = await peers.call(
             holder.address,
@@ -191,8 +195,6 @@
             definitions.GroupConfirmation,
             _ASK_SECONDS,
         )
-    except PeerRefusedError:
-        return True
     except PeerError:
         return False
     return answer.incarnation != holder.incarnation
--- a/comfreystair/coordination/leaders.py
+++ b/comfreystair/coordination/leaders.py
@@ -41,7 +41,7 @@
 from comfreystair.coordination.state import FleetState, GroupState
 from comfreystair.exceptions import ComfreystairError
 from comfreystair.observability.decisions import DecisionLog
-from comfreystair.peers import PeerClients, PeerError, PeerRefusedError
+from comfreystair.peers import PeerClients, PeerError
 from comfreystair.peers.messages import definitions
 from comfreystair.pooling.members import (
     Connection,
@@ -396,16 +396,13 @@
         confirmed: set[str] = set()
 
         async def tell(other: InstanceRecord) -> None:
-            try:
-                await self._peers.call(
-                    other.address,
-                    'group',
-                    notice,
-                    definitions.GroupConfirmation,
-                    _CONFIRM_SECONDS,
-                )
-            except PeerRefusedError:
-                self._log.write('instance_ended', name=other.name)
+            await self._peers.call(
+                other.address,
+                'group',
+                notice,
+                definitions.GroupConfirmation,
+                _CONFIRM_SECONDS,
+            )
             confirmed.add(other.name)
 
         task = await curio.spawn(self._take, group, record)
--- a/comfreystair/entry.py
+++ b/comfreystair/entry.py
@@ -290,7 +290,13 @@
         sys.stderr.write(f'{found.ident}: {found.message}; {found.hint}\n')
     if any(found.level == LEVEL_ERROR for found in findings):
         sys.exit(EXIT_USAGE)
-    curio.run(EntryInstance(settings).run)
+    curio.run(_run_to_end, settings)
+
+
+async def _run_to_end(settings: EntrySettings) -> None:
+    await EntryInstance(settings).run()
+    # What still runs holds nothing but sockets, which end with the process.
+    os._exit(0)
 
 
 async def _spawn(call: Callable[..., Awaitable[None]], *given: object) -> None:
