--- a/comfreystair/controllers/seats.py
+++ b/comfreystair/controllers/seats.py
@@ -49,6 +49,11 @@
         self._held = 0
         self._numbers = itertools.count()
 
+    @property
+    def limit(self) -> int:
+        """Return the connections that this instance may hold."""
+        return self._limit
+
     @property
     def total(self) -> int:
         """Return connections that rest, work or are being opened."""
--- a/comfreystair/pooling/pool.py
+++ b/comfreystair/pooling/pool.py
@@ -1,6 +1,5 @@
 """An instance's connections to one target."""
 
-import collections
 import itertools
 from collections.abc import Awaitable, Callable
 from typing import Final
@@ -14,6 +13,7 @@
     SeatDecision,
     SeatMove,
 )
+from comfreystair.controllers.turns import Ticket, WaitQueue
 from comfreystair.pooling.exceptions import PoolError, TargetLostError
 from comfreystair.pooling.members import Connection, TargetEntry
 from comfreystair.sessions.statements import Prepared
@@ -21,6 +21,10 @@
 # Bound on opening a connection, in seconds: a handshake takes 12 ms.
 _OPEN_SECONDS: Final = 0.4
 
+# Share of a request's time that it may be expected to wait; one that would
+# wait longer is refused at once.
+_WAIT_SHARE: Final = 0.7
+
 OpenConnection = Callable[[TargetEntry, str, float], Awaitable[Connection]]
 
 
@@ -53,7 +57,8 @@
         self._open = open_connection
         self._seats = SeatController(limit)
         self._resting: dict[Seat, Pooled] = {}
-        self._waiting: collections.deque[curio.Event] = collections.deque()
+        self._queue = WaitQueue()
+        self._waiters: dict[Ticket, _Waiter] = {}
         self._is_closed = False
 
     @property
@@ -69,7 +74,7 @@
     @property
     def waiting(self) -> int:
         """Return requests that wait for a connection."""
-        return len(self._waiting)
+        return len(self._waiters)
 
     def has_resting(self, organisation: str) -> bool:
         """Tell whether a connection of an organisation rests."""
@@ -80,23 +85,30 @@
         for seat in self._seats.set_limit(limit):
             await self._close_resting(seat)
 
-    async def take(self, organisation: str, seconds: float) -> Pooled:
+    async def take(
+        self, organisation: str, priority: int, seconds: float
+    ) -> Pooled:
         """Return a connection of an organisation.
 
-        :raises PoolError: none was free in time.
+        :param priority: 0 goes first.
+        :raises PoolError: none is to be had in time.
         :raises TargetLostError: the target could not be reached.
         :raises TargetRefusedError: the target refused.
         """
-        decision = self._seats.decide(organisation)
+        decision = SeatDecision(SeatMove.wait)
+        if not self._waiters:
+            decision = self._seats.decide(organisation)
         if decision.move is SeatMove.wait:
-            decision = await self._wait(organisation, seconds)
+            decision = await self._wait(organisation, priority, seconds)
         if decision.move is SeatMove.reuse:
-            return self._resting.pop(decision.seat)
+            pooled = self._resting.pop(decision.seat)
+            pooled.used_at = read_clock()
+            return pooled
         return await self._replace(decision, organisation, seconds)
 
     async def give_back(self, pooled: Pooled) -> None:
         """Return a connection that is ready for the next request."""
-        pooled.used_at = read_clock()
+        self._queue.note_use(read_clock() - pooled.used_at)
         seat = None
         if not self._is_closed:
             seat = self._seats.rest(pooled.organisation)
@@ -104,13 +116,13 @@
             await pooled.connection.close()
         else:
             self._resting[seat] = pooled
-        await self._wake()
+        await self._wake(pooled.organisation)
 
     async def discard(self, pooled: Pooled) -> None:
         """Close a connection whose state is not known."""
         self._seats.drop()
         await pooled.connection.close()
-        await self._wake()
+        await self._wake('')
 
     async def close_resting(self) -> None:
         """Close the connections that nobody uses."""
@@ -123,23 +135,42 @@
         self._is_closed = True
         await self.close_resting()
 
-    async def _wait(self, organisation: str, seconds: float) -> SeatDecision:
-        deadline = read_clock() + seconds
-        while True:
-            event = curio.Event()
-            self._waiting.append(event)
-            try:
-                async with curio.ignore_after(deadline - read_clock()):
-                    await event.wait()
-            finally:
-                was_woken = event.is_set()
-                if not was_woken:
-                    self._waiting.remove(event)
-            if not was_woken:
-                raise PoolError('no connection free', 'take', self._entry.ident)
-            decision = self._seats.decide(organisation)
-            if decision.move is not SeatMove.wait:
-                return decision
+    async def _wait(
+        self, organisation: str, priority: int, seconds: float
+    ) -> SeatDecision:
+        wait = self._queue.find_wait(self._seats.limit)
+        if wait > seconds * _WAIT_SHARE:
+            raise PoolError('too many wait', 'take', self._entry.ident)
+        waiter = _Waiter()
+        now = read_clock()
+        ticket = self._queue.add(organisation, priority, now)
+        self._waiters[ticket] = waiter
+        try:
+            async with curio.ignore_after(seconds):
+                await waiter.event.wait()
+        except BaseException:
+            await self._give_up(ticket, waiter)
+            raise
+        self._queue.remove(ticket)
+        self._waiters.pop(ticket, None)
+        if waiter.decision is None:
+            raise PoolError('no connection free', 'take', self._entry.ident)
+        return waiter.decision
+
+    async def _give_up(self, ticket: Ticket, waiter: '_Waiter') -> None:
+        """Pass on a turn that came to a request which had ended."""
+        self._queue.remove(ticket)
+        self._waiters.pop(ticket, None)
+        decision = waiter.decision
+        if decision is None:
+            return
+        if decision.move is SeatMove.reuse:
+            await self.give_back(self._resting.pop(decision.seat))
+            return
+        if decision.seat is not None:
+            await self._close_resting(decision.seat)
+        self._seats.drop()
+        await self._wake('')
 
     async def _replace(
         self, decision: SeatDecision, organisation: str, seconds: float
@@ -153,7 +184,7 @@
         finally:
             if opened is None:
                 self._seats.drop()
-                await self._wake()
+                await self._wake('')
         return Pooled(opened, organisation)
 
     async def _close_resting(self, seat: Seat) -> None:
@@ -161,9 +192,29 @@
         if pooled is not None:
             await pooled.connection.close()
 
-    async def _wake(self) -> None:
-        if self._waiting:
-            await self._waiting.popleft().set()
+    async def _wake(self, organisation: str) -> None:
+        """Give the next request its turn.
+
+        :param organisation: whose connection has just become free.
+        """
+        ticket = self._queue.choose(organisation, read_clock())
+        if ticket is None:
+            return
+        decision = self._seats.decide(ticket.organisation)
+        if decision.move is SeatMove.wait:
+            return
+        self._queue.remove(ticket)
+        waiter = self._waiters.pop(ticket)
+        waiter.decision = decision
+        await waiter.event.set()
+
+
+class _Waiter:
+    """A request that waits for a connection."""
+
+    def __init__(self) -> None:
+        self.event = curio.Event()
+        self.decision: SeatDecision | None = None
 
 
 async def align(
--- a/comfreystair/sessions/execution.py
+++ b/comfreystair/sessions/execution.py
@@ -84,13 +84,13 @@
             if not attempt and not is_write:
                 remaining *= _FIRST_SHARE
             answer = await self._attempt(
-                session, organisation, statement, place, remaining
+                session, need, statement, place, remaining
             )
             if not _may_repeat(answer, is_write):
                 break
             self._note_retry(statement, place, answer)
-            if not place.is_primary:
-                need.tried.add(place.pool.entry.ident)
+            if not await _prepare_retry(need, place, answer):
+                break
         return answer
 
     async def run_in_transaction(
@@ -123,7 +123,7 @@
     async def _attempt(
         self,
         session: Session,
-        organisation: str,
+        need: Need,
         statement: Statement,
         place: Place,
         seconds: float,
@@ -134,7 +134,9 @@
         sent is reported as not run.
         """
         started_at = read_clock()
-        taken = await self._take(place, organisation, seconds)
+        taken = await self._take(
+            place, need.organisation, need.route, seconds
+        )
         if isinstance(taken, Answer):
             return taken
         prepared = session.prepared.get(statement.name)
@@ -155,14 +157,20 @@
         return answer
 
     async def _take(
-        self, place: Place, organisation: str, seconds: float
+        self,
+        place: Place,
+        organisation: str,
+        route: ServingRoute,
+        seconds: float,
     ) -> Pooled | Answer:
         ident = place.pool.entry.ident
         try:
-            return await place.pool.take(organisation, seconds)
+            return await place.pool.take(
+                organisation, route.priority, seconds
+            )
         except PoolError as error:
             self._log.write('no_connection', target=ident, why=error)
-            return fail(Failure.overloaded, _RETRY_ADVICE)
+            return fail(Failure.connection_limit, _RETRY_ADVICE)
         except TargetRefusedError as error:
             self._log.write('target_refused', target=ident, why=error)
             self._board.find_health(ident).shed(_SHED_SECONDS, read_clock())
@@ -232,8 +240,8 @@
             )
             if answer.failure is None:
                 break
-            if not place.is_primary:
-                need.tried.add(place.pool.entry.ident)
+            if not await _prepare_retry(need, place, answer):
+                break
         return answer
 
     async def _begin_at(
@@ -245,7 +253,9 @@
     ) -> Answer:
         transaction = session.transaction
         deadline = read_clock() + seconds
-        taken = await self._take(place, organisation, seconds)
+        taken = await self._take(
+            place, organisation, transaction.route, seconds
+        )
         if isinstance(taken, Answer):
             return taken
         has_begun = False
@@ -413,11 +423,24 @@
     """Tell whether a statement may run again elsewhere."""
     if answer.failure is None:
         return False
-    if answer.failure in NOT_RUN:
+    if answer.failure in NOT_RUN or (
+        answer.failure is Failure.connection_limit
+    ):
         return True
     return not is_write and answer.failure in _REPEATABLE_READS
 
 
+async def _prepare_retry(need: Need, place: Place, answer: Answer) -> bool:
+    """Keep off a place that failed; tell whether another may do."""
+    if not place.is_primary:
+        need.tried.add(place.pool.entry.ident)
+        return True
+    if answer.failure is Failure.connection_limit:
+        return False
+    await curio.sleep(_RETRY_SECONDS)
+    return True
+
+
 async def _ready(
     pooled: Pooled, session: Session, statement: Statement, deadline: float
 ) -> str:
