Bounded what runs at a target by a window, and the wait by the latency aim

Cause: while a group's replicas lag, its primary gets every read; up to 30 statements queued there, were answered late or shed, and were tried again. Ruled out: the lag alone (the primary's slots would carry the work without new connections).

--- a/comfreystair/pooling/board.py
+++ b/comfreystair/pooling/board.py
@@ -72,7 +72,7 @@
                     entry.ident,
                     entry.zone == self._zone,
                     entry.ident == primary,
-                    (pool.held + 2 * pool.waiting) / entry.slots,
+                    pool.gate.load / entry.slots,
                     pool.has_resting(organisation),
                     self._health[entry.ident],
                 )
--- a/comfreystair/pooling/pool.py
+++ b/comfreystair/pooling/pool.py
@@ -15,6 +15,7 @@
 )
 from comfreystair.controllers.turns import Ticket, WaitQueue
 from comfreystair.pooling.exceptions import PoolError, TargetLostError
+from comfreystair.pooling.gates import Gate
 from comfreystair.pooling.members import Connection, TargetEntry
 from comfreystair.sessions.statements import Prepared
 
@@ -60,6 +61,12 @@
         self._queue = WaitQueue()
         self._waiters: dict[Ticket, _Waiter] = {}
         self._is_closed = False
+        self._gate = Gate(entry.slots, entry.ident)
+
+    @property
+    def gate(self) -> Gate:
+        """Return what orders the statements that run there."""
+        return self._gate
 
     @property
     def entry(self) -> TargetEntry:
--- a/comfreystair/sessions/execution.py
+++ b/comfreystair/sessions/execution.py
@@ -15,6 +15,7 @@
     TargetLostError,
     TargetRefusedError,
 )
+from comfreystair.pooling.gates import Gate
 from comfreystair.pooling.pool import Pooled, align, find_name
 from comfreystair.sessions.placement import Need, Place, Placement
 from comfreystair.sessions.session import Session, Transaction
@@ -35,6 +36,10 @@
 # How long a full target is left alone, in seconds.
 _SHED_SECONDS: Final = 0.03
 _MOST_ATTEMPTS: Final = 6
+# Share of a statement's time that it may wait for its turn.
+_WAIT_SHARE: Final = 0.7
+# Priority of statements that hold a transaction open.
+_URGENT: Final = -1
 # How long an answer waits for the proof that its target was the primary, in
 # seconds.
 _PROOF_WAIT_SECONDS: Final = 0.8
@@ -134,8 +139,37 @@
         sent is reported as not run.
         """
         started_at = read_clock()
+        patience = min(seconds * _WAIT_SHARE, need.route.aim_seconds)
+        try:
+            await place.pool.gate.enter(
+                need.organisation, need.route.priority, patience
+            )
+        except PoolError as error:
+            return self._refuse_full(place, error)
+        answer = fail(Failure.overloaded, _RETRY_ADVICE)
+        entered_at = read_clock()
+        try:
+            answer = await self._run_at(
+                session, need, statement, place, started_at + seconds
+            )
+        finally:
+            await place.pool.gate.leave(
+                need.organisation,
+                read_clock() - entered_at,
+                answer.failure is Failure.overloaded,
+            )
+        return answer
+
+    async def _run_at(
+        self,
+        session: Session,
+        need: Need,
+        statement: Statement,
+        place: Place,
+        deadline: float,
+    ) -> Answer:
         taken = await self._take(
-            place, need.organisation, need.route, seconds
+            place, need.organisation, need.route, deadline - read_clock()
         )
         if isinstance(taken, Answer):
             return taken
@@ -146,7 +180,7 @@
             group.writes += 1
         try:
             answer = await self._send(
-                session, statement, place, taken, started_at + seconds
+                session, statement, place, taken, deadline
             )
             if is_write and answer.failure is None:
                 answer = await self._acknowledge(group, place, answer)
@@ -169,8 +203,7 @@
                 organisation, route.priority, seconds
             )
         except PoolError as error:
-            self._log.write('no_connection', target=ident, why=error)
-            return fail(Failure.connection_limit, _RETRY_ADVICE)
+            return self._refuse_full(place, error)
         except TargetRefusedError as error:
             self._log.write('target_refused', target=ident, why=error)
             self._board.find_health(ident).shed(_SHED_SECONDS, read_clock())
@@ -179,6 +212,15 @@
             await self._note_lost(place, error)
             return fail(Failure.overloaded, _RETRY_ADVICE)
 
+    def _refuse_full(self, place: Place, error: PoolError) -> Answer:
+        self._log.write(
+            'target_full',
+            target=place.pool.entry.ident,
+            why=error,
+            load=place.pool.gate.load,
+        )
+        return fail(Failure.connection_limit, _RETRY_ADVICE)
+
     async def _send(
         self,
         session: Session,
@@ -321,12 +363,19 @@
     ) -> Answer:
         """Send a statement, again while the target is full."""
         pooled = session.transaction.pooled
+        gate = session.transaction.pool.gate
         name = await _ready(pooled, session, statement, deadline)
         while True:
+            await _enter_urgently(gate, pooled.organisation, deadline)
             asked_at = read_clock()
-            answer = await pooled.connection.forward(
-                statement, None, name, max(deadline - asked_at, 0.01)
-            )
+            is_shed = True
+            try:
+                answer = await pooled.connection.forward(
+                    statement, None, name, max(deadline - asked_at, 0.01)
+                )
+                is_shed = answer.failure is Failure.overloaded
+            finally:
+                await gate.leave('', read_clock() - asked_at, is_shed)
             is_full = answer.failure is Failure.overloaded
             if not is_full or answer.is_aborted:
                 return answer
@@ -430,6 +479,18 @@
     return not is_write and answer.failure in _REPEATABLE_READS
 
 
+async def _enter_urgently(gate: Gate, name: str, deadline: float) -> None:
+    """Wait for a turn ahead of requests that hold no connection.
+
+    :raises TargetLostError: when there was none in time.
+    """
+    patience = max(deadline - read_clock(), 0.01)
+    try:
+        await gate.enter(name, _URGENT, patience)
+    except PoolError as error:
+        raise TargetLostError(str(error), error.step, error.peer) from error
+
+
 async def _prepare_retry(need: Need, place: Place, answer: Answer) -> bool:
     """Keep off a place that failed; tell whether another may do."""
     if not place.is_primary:
