--- a/comfreystair/peers/client.py
+++ b/comfreystair/peers/client.py
@@ -1,5 +1,6 @@
 """Call other daemons, many calls at a time on one connection for each."""
 
+import contextlib
 import itertools
 import time
 
@@ -148,14 +149,21 @@
         except (OSError, EOFError, PeerError):
             return
         finally:
-            await self.close()
+            await self._close_socket()
 
     async def close(self) -> None:
-        """Close the connection and end the calls under way."""
+        """End the calls under way; the reading task closes the connection."""
         self._is_closed = True
         for pending in list(self._pending.values()):
             await pending.finish(None)
-        await self._sock.close()
+        await shut_down(self._sock)
+
+    async def _close_socket(self) -> None:
+        await self.close()
+        # Nobody may wait on a socket that is closed: the loop would fail when
+        # its number is used again.
+        async with self._lock:
+            await self._sock.close()
 
     async def _send(self, wire: bytes) -> None:
         is_sent = False
@@ -168,6 +176,12 @@
                 self._is_closed = self._is_closed or not is_sent
 
 
+async def shut_down(sock: socket.socket) -> None:
+    """End both directions, which wakes every task that waits on them."""
+    with contextlib.suppress(OSError):
+        await sock.shutdown(socket.SHUT_RDWR)
+
+
 class _Pending:
     """A call that waits for its reply."""
 
--- a/comfreystair/peers/server.py
+++ b/comfreystair/peers/server.py
@@ -10,6 +10,7 @@
 
 from comfreystair.exceptions import ComfreystairError
 from comfreystair.peers import messages
+from comfreystair.peers.client import shut_down
 from comfreystair.peers.exceptions import PeerError
 from comfreystair.peers.messages import definitions
 
@@ -48,6 +49,10 @@
                 await self._serve_calls(client, lock)
             except (OSError, EOFError, PeerError) as error:
                 logger.debug('event=peer_lost error="{}"', error)
+            await shut_down(client)
+            async with lock:
+                # No answer is being sent any more.
+                return
 
     async def _serve_calls(
         self, client: socket.socket, lock: curio.Lock
