Handed proofs on within availability zones

One instance of each zone reads now, chosen by rendezvous hashing; the others ask it and count the proof's age from when they asked. Those that took proofs are told of a change of primary through whom they took them from.

--- a/comfreystair/coordination/leaders.py
+++ b/comfreystair/coordination/leaders.py
@@ -25,6 +25,7 @@
     parse_received,
 )
 from comfreystair.coordination.exceptions import ChangeFailedError
+from comfreystair.coordination.proofs import from_notice, to_notice
 from comfreystair.coordination.ranks import find_rank
 from comfreystair.coordination.records import (
     DUTIES_PREFIX,
@@ -73,6 +74,9 @@
 _MOST_RANKS: Final = 6
 # An announced change without a holder is taken over after this, in seconds.
 _STALLED_SECONDS: Final = 1.0
+_ANNOUNCE: Final = 'announce'
+# A duty that somebody else holds is not tried again for this long, in seconds.
+_HELD_PAUSE_SECONDS: Final = 1.0
 _DUTY_HELD: Final = 'somebody else holds the duty'
 
 OpenProbe = Callable[[TargetEntry, float], Awaitable[Connection]]
@@ -105,12 +109,15 @@
         open_probe: OpenProbe,
         promote: Promote,
         hurry: Callable[[], Awaitable[None]],
+        list_followers: Callable[[], list[str]],
         log: DecisionLog,
     ) -> None:
         """Take the parts.
 
         :param hurry: asks for a proof now.
+        :param list_followers: addresses of those that took proofs from here.
         """
+        self._list_followers = list_followers
         self._state = state
         self._store = store
         self._peers = peers
@@ -136,18 +143,11 @@
         """Stop using a primary that is being replaced, and confirm it."""
         group = self._state.find_group(notice.group)
         heard = read_clock() - group.answered_at
-        await self._take(
-            notice.group,
-            Leadership(
-                notice.primary,
-                notice.term,
-                notice.is_changing,
-                notice.revision,
-            ),
-        )
+        await self._take(notice.group, from_notice(notice))
         return definitions.GroupConfirmation(
             incarnation=self._state.own.incarnation,
             heard_ms=_to_milliseconds(heard),
+            followers=self._list_followers(),
         )
 
     async def tell_heard(self, inquiry) -> object:
@@ -236,6 +236,8 @@
             await self._change(name, reason)
         except ComfreystairError as error:
             pause = random.uniform(0.3, 0.6)  # noqa: S311
+            if error.step == _ANNOUNCE:
+                pause += _HELD_PAUSE_SECONDS
             self._retry_at[name] = read_clock() + pause
             self._log.write(
                 'change_stopped',
@@ -321,7 +323,8 @@
             (duty,),
         )
         if not isinstance(outcome, Committed):
-            raise ChangeFailedError(_DUTY_HELD, 'announce')
+            await self._store.end_lease(lease)
+            raise ChangeFailedError(_DUTY_HELD, _ANNOUNCE)
         self._log.write(
             'change_announced',
             group=name,
@@ -361,13 +364,14 @@
             if seen_at > horizon:
                 others.setdefault(name, record)
         others.pop(self._state.own.name, None)
-        silent = await self._notify(
-            change.group,
-            Leadership(
-                change.old.primary, change.old.term, True, change.token
-            ),
-            list(others.values()),
+        record = Leadership(
+            change.old.primary, change.old.term, True, change.token
         )
+        task = await curio.spawn(self._take, change.group, record)
+        silent = await self._notify_all(
+            change.group, record, {one.address for one in others.values()}
+        )
+        await task.join()
         is_new_here = announced_at - self._started_at < 2 * PROOF_SECONDS
         waited = 0.0
         if silent or is_new_here:
@@ -382,33 +386,47 @@
             waited=waited,
         )
 
-    async def _notify(
-        self, group: str, record: Leadership, others: list[InstanceRecord]
+    async def _notify_all(
+        self, group: str, record: Leadership, addresses: set[str]
     ) -> list[str]:
-        """Hand a record to all instances and return who did not confirm."""
-        notice = definitions.GroupNotice(
-            group=group,
-            primary=record.primary,
-            term=record.term,
-            is_changing=record.is_changing,
-            revision=record.revision,
-        )
-        confirmed: set[str] = set()
+        """Hand a record to instances and to those with proofs from them.
+
+        :returns: the addresses that did not confirm.
+        """
+        waiting = addresses | set(self._list_followers())
+        told = {self._state.own.address}
+        silent: list[str] = []
+        while waiting - told:
+            round_of = waiting - told
+            told |= round_of
+            answers = await self._notify(group, record, round_of)
+            silent.extend(round_of - answers.keys())
+            for followers in answers.values():
+                waiting.update(followers)
+        return silent
 
-        async def tell(other: InstanceRecord) -> None:
-            await self._peers.call(
-                other.address,
+    async def _notify(
+        self, group: str, record: Leadership, addresses: set[str]
+    ) -> dict[str, list[str]]:
+        """Hand a record to instances.
+
+        :returns: the followers of each that confirmed, by its address.
+        """
+        notice = to_notice(group, record)
+        confirmed: dict[str, list[str]] = {}
+
+        async def tell(address: str) -> None:
+            answer = await self._peers.call(
+                address,
                 'group',
                 notice,
                 definitions.GroupConfirmation,
                 _CONFIRM_SECONDS,
             )
-            confirmed.add(other.name)
+            confirmed[address] = answer.followers or []
 
-        task = await curio.spawn(self._take, group, record)
-        await _run_side_by_side(tell, others)
-        await task.join()
-        return [one.name for one in others if one.name not in confirmed]
+        await _run_side_by_side(tell, addresses)
+        return confirmed
 
     async def _step_down(self, change: Change) -> Position | None:
         """Return the end of the old primary's log, if it told."""
@@ -490,12 +508,10 @@
         return 0
 
     async def _publish(self, name: str, record: Leadership) -> None:
-        others = [
-            one
-            for one in self._state.instances.values()
-            if one.name != self._state.own.name
-        ]
-        await self._notify(name, record, others)
+        task = await curio.spawn(self._take, name, record)
+        addresses = {one.address for one in self._state.instances.values()}
+        await self._notify(name, record, addresses - {self._state.own.address})
+        await task.join()
 
     async def _ask_all(self, group: str) -> list[Standing]:
         standings: list[Standing] = []
--- /dev/null
+++ b/comfreystair/coordination/proofs.py
@@ -0,0 +1,165 @@
+"""Hand proofs on between instances.
+
+One instance of each availability zone reads the store; the others ask it. A
+proof's age is counted from when the store was asked, and by who takes it over
+from when it asked, so that no delay makes a proof look younger than it is.
+"""
+
+from typing import Final
+
+from comfreystair.clocks import read_clock
+from comfreystair.controllers.leadership import PROOF_SECONDS, Leadership
+from comfreystair.coordination.ranks import find_rank
+from comfreystair.coordination.records import InstanceRecord
+from comfreystair.coordination.state import FleetState
+from comfreystair.observability.decisions import DecisionLog
+from comfreystair.peers import PeerClients, PeerError
+from comfreystair.peers.messages import definitions
+
+# Bound on asking for a proof, in seconds.
+_ASK_SECONDS: Final = 0.2
+# An instance without a young proof is not asked again for this long, in
+# seconds.
+_AVOID_SECONDS: Final = 2.0
+# A proof handed on may be this old, in seconds: the readers' interval and a
+# little more.
+_MOST_AGE_SECONDS: Final = 1.3
+
+
+class ProofExchange:
+    """Give proofs to other instances, and take theirs."""
+
+    def __init__(
+        self, state: FleetState, peers: PeerClients, log: DecisionLog
+    ) -> None:
+        """Take the parts."""
+        self._state = state
+        self._peers = peers
+        self._log = log
+        self._followers: dict[str, float] = {}
+        self._avoided: dict[str, float] = {}
+
+    def list_followers(self) -> list[str]:
+        """Return the addresses of those that may hold proofs from here."""
+        oldest = read_clock() - 2 * PROOF_SECONDS
+        self._followers = {
+            address: at for address, at in self._followers.items() if at > oldest
+        }
+        return list(self._followers)
+
+    def list_sources(self) -> list[InstanceRecord]:
+        """Return whom to ask: first the own zone's reader, then others'.
+
+        The own zone's part is missing where this instance is the reader.
+        """
+        readers = {
+            zone: self._find_reader(zone)
+            for zone in {one.zone for one in self._state.instances.values()}
+        }
+        own = self._state.own
+        near = readers.pop(own.zone, None)
+        far = [one for one in readers.values() if one is not None]
+        if near is None or near.name == own.name:
+            return far
+        return [near, *far]
+
+    @property
+    def is_reader(self) -> bool:
+        """Tell whether this instance reads the store for its zone."""
+        reader = self._find_reader(self._state.own.zone)
+        return reader is None or reader.name == self._state.own.name
+
+    async def give(self, request) -> object:
+        """Answer another instance with all proofs held here."""
+        now = read_clock()
+        self._followers[request.address] = now
+        plan = self._state.plan
+        return definitions.Proof(
+            plan_revision=plan.revision if plan else 0,
+            plan_age_seconds=self._state.find_plan_age(now),
+            groups=[
+                definitions.GroupProof(
+                    record=to_notice(name, group.leadership.record),
+                    age_seconds=group.leadership.find_proof_age(now),
+                )
+                for name, group in self._state.groups.items()
+            ],
+        )
+
+    async def take(self, source: InstanceRecord) -> bool:
+        """Take over another instance's proofs; tell whether they will do."""
+        asked_at = read_clock()
+        request = definitions.ProofRequest(address=self._state.own.address)
+        try:
+            proof = await self._peers.call(
+                source.address, 'proof', request, definitions.Proof, _ASK_SECONDS
+            )
+        except PeerError as error:
+            self._avoid(source, str(error))
+            return False
+        plan = self._state.plan
+        known = plan.revision if plan else 0
+        if proof.plan_revision > known:
+            return False
+        if proof.plan_revision < known or (
+            proof.plan_age_seconds > _MOST_AGE_SECONDS
+        ):
+            self._avoid(source, f'proof of {proof.plan_age_seconds:.1f} s')
+            return False
+        self._state.plan_proved_at = max(
+            self._state.plan_proved_at, asked_at - proof.plan_age_seconds
+        )
+        for one in proof.groups:
+            await self._learn(one, asked_at)
+        return True
+
+    async def _learn(self, proof, asked_at: float) -> None:
+        group = self._state.find_group(proof.record.group)
+        record = from_notice(proof.record)
+        if group.leadership.learn(record, asked_at - proof.age_seconds):
+            self._log.write(
+                'leadership',
+                group=proof.record.group,
+                primary=record.primary,
+                term=record.term,
+                is_changing=record.is_changing,
+                revision=record.revision,
+                proof_age=proof.age_seconds,
+            )
+        await group.announce()
+
+    def _avoid(self, source: InstanceRecord, reason: str) -> None:
+        self._avoided[source.incarnation] = read_clock() + _AVOID_SECONDS
+        self._log.write('source_avoided', source=source.name, reason=reason)
+
+    def _find_reader(self, zone: str) -> InstanceRecord | None:
+        now = read_clock()
+        ready = [
+            one
+            for one in self._state.instances.values()
+            if one.zone == zone and self._avoided.get(one.incarnation, now) <= now
+        ]
+        names = [one.name for one in ready]
+        return min(
+            ready,
+            key=lambda one: find_rank('reader', names, one.name),
+            default=None,
+        )
+
+
+def to_notice(group: str, record: Leadership) -> object:
+    """Return a group's record as it is sent."""
+    return definitions.GroupNotice(
+        group=group,
+        primary=record.primary,
+        term=record.term,
+        is_changing=record.is_changing,
+        revision=record.revision,
+    )
+
+
+def from_notice(notice) -> Leadership:
+    """Return a group's record as it was sent."""
+    return Leadership(
+        notice.primary, notice.term, notice.is_changing, notice.revision
+    )
--- a/comfreystair/coordination/pulse.py
+++ b/comfreystair/coordination/pulse.py
@@ -13,6 +13,7 @@
 import curio
 
 from comfreystair.clocks import read_clock
+from comfreystair.coordination.proofs import ProofExchange
 from comfreystair.coordination.records import (
     GROUPS_PREFIX,
     INSTANCES_PREFIX,
@@ -50,9 +51,11 @@
         store: StoreClient,
         plan_key: str,
         parse_plan: ParsePlan,
+        exchange: ProofExchange,
         log: DecisionLog,
     ) -> None:
         """Take the parts."""
+        self._exchange = exchange
         self._state = state
         self._store = store
         self._plan_key = plan_key
@@ -82,7 +85,8 @@
                 await self._beat()
             except ComfreystairError as error:
                 self._note_reached(is_reached=False, reason=str(error))
-                pause = _RETRY_SECONDS * random.uniform(0.5, 1.5)  # noqa: S311
+                if not await self._take_others():
+                    pause = _RETRY_SECONDS * random.uniform(0.5, 1.5)  # noqa: S311
             async with curio.ignore_after(pause):
                 await self._wake.wait()
             self._wake.clear()
@@ -97,12 +101,25 @@
             await self._register()
         elif read_clock() - self._renewed_at > _RENEW_SECONDS:
             await self._renew()
+        if self._state.plan and not self._exchange.is_reader:
+            source = self._exchange.list_sources()[0]
+            if await self._exchange.take(source):
+                return
         groups = self._list_groups()
         room = _MOST_KEYS - 2
         for start in range(0, max(len(groups), 1), room):
             await self._prove(groups[start : start + room])
         self._note_reached(is_reached=True, reason='')
 
+    async def _take_others(self) -> bool:
+        """Take proofs from other zones while the store does not answer."""
+        if self._state.plan is None:
+            return False
+        for source in self._exchange.list_sources():
+            if await self._exchange.take(source):
+                return True
+        return False
+
     async def _prove(self, groups: list[str]) -> None:
         state = self._state
         expected = {
--- a/comfreystair/entry.py
+++ b/comfreystair/entry.py
@@ -23,6 +23,7 @@
 from comfreystair.coordination.directory import Directory
 from comfreystair.coordination.keepers import KeeperDuty
 from comfreystair.coordination.leaders import Leaders
+from comfreystair.coordination.proofs import ProofExchange
 from comfreystair.coordination.pulse import Pulse
 from comfreystair.coordination.records import InstanceRecord
 from comfreystair.coordination.state import FleetState
@@ -94,13 +95,14 @@
         store = Store(
             HttpClient(self._dial, settings.store.address), _STORE_SECONDS
         )
+        self._peers = PeerClients(self._dial, _PEER_SECONDS, '')
+        self._exchange = ProofExchange(self._state, self._peers, self._log)
         self._pulse = Pulse(
-            self._state, store, PLAN_KEY, parse_plan, self._log
+            self._state, store, PLAN_KEY, parse_plan, self._exchange, self._log
         )
         self._directory = Directory(
             self._state, store, TARGETS_PREFIX, parse_targets, self._log
         )
-        self._peers = PeerClients(self._dial, _PEER_SECONDS, '')
         self._keeper = Keeper(self._state, len(settings.zones))
         self._duty = KeeperDuty(
             self._state, store, self._peers, self._keeper, self._log
@@ -117,6 +119,7 @@
             self._open_probe,
             promoter.promote,
             self._pulse.hurry,
+            self._exchange.list_followers,
             self._log,
         )
         self._board = TargetBoard(instance.zone, self._open)
@@ -188,6 +191,7 @@
             'grant': Method(definitions.GrantRequest, self._keeper.grant),
             'group': Method(definitions.GroupNotice, self._leaders.take_notice),
             'heard': Method(definitions.GroupInquiry, self._leaders.tell_heard),
+            'proof': Method(definitions.ProofRequest, self._exchange.give),
             'identify': Method(definitions.Empty, self._identify),
         }
 
--- a/comfreystair/peers/comfreystair.thrift
+++ b/comfreystair/peers/comfreystair.thrift
@@ -126,9 +126,27 @@
 }
 
 // What the receiver last heard of the primary, in milliseconds; -1: never.
+// Followers are those that took proofs from the receiver lately.
 struct GroupConfirmation {
     1: string incarnation,
-    2: i64 heard_ms
+    2: i64 heard_ms,
+    3: list<string> followers
+}
+
+struct ProofRequest {
+    1: string address
+}
+
+// Ages count from when the read that proved it was sent.
+struct GroupProof {
+    1: GroupNotice record,
+    2: double age_seconds
+}
+
+struct Proof {
+    1: i64 plan_revision,
+    2: double plan_age_seconds,
+    3: list<GroupProof> groups
 }
 
 struct GroupInquiry {
