Let instances that the store turns away go on with plans and duties from others

Plans are fetched from peers, a keeper that can't renew gives up after 4.2 s and says so, and an instance keeps its part of the connections for 30 s.

--- a/comfreystair/coordination/admission.py
+++ b/comfreystair/coordination/admission.py
@@ -113,6 +113,11 @@
         self._since = float('inf')
         self._until = float('-inf')
 
+    @property
+    def is_pending(self) -> bool:
+        """Tell whether this instance has the duty, now or soon."""
+        return read_clock() < self._until
+
     @property
     def is_held(self) -> bool:
         """Tell whether this instance may hand out tokens now."""
@@ -124,9 +129,12 @@
         self._since = since
         self._until = until
 
-    def extend(self, until: float) -> None:
-        """Go on with the duty."""
-        self._until = max(self._until, until)
+    def extend(self, until: float) -> bool:
+        """Go on with the duty, if it has not run out; tell whether."""
+        if read_clock() >= self._until:
+            return False
+        self._until = until
+        return True
 
     def stop(self) -> None:
         """Give up the duty."""
--- a/comfreystair/coordination/directory.py
+++ b/comfreystair/coordination/directory.py
@@ -27,6 +27,10 @@
 # in seconds: entries that lapsed with the store are back after two.
 _GONE_SECONDS: Final = 3.0
 
+# An instance that is no longer listed keeps its part of the connections this
+# long, in seconds: it may only have been unable to renew its registration.
+_REMEMBERED_SECONDS: Final = 30.0
+
 ParseTargets = Callable[[dict[str, Item]], dict[str, TargetEntry]]
 Changed = Callable[[], Awaitable[None]]
 
@@ -94,6 +98,9 @@
         state.instances = instances
         for name, record in instances.items():
             state.recent[name] = (record, now)
+        for name, (_record, seen_at) in list(state.recent.items()):
+            if now - seen_at > _REMEMBERED_SECONDS:
+                state.recent.pop(name)
         state.keepers = _decode(items, KEEPERS_PREFIX)
 
 
--- a/comfreystair/coordination/keepers.py
+++ b/comfreystair/coordination/keepers.py
@@ -1,8 +1,8 @@
 """Have one keeper of tokens in each availability zone.
 
 The duty is a leased key. It passes on when the lease ends, or at once when
-the holder's process is proved to have ended, because another life of it
-answers.
+the holder is proved to have given up: it says so, or another life of its
+process answers.
 """
 
 import random
@@ -29,9 +29,11 @@
 from comfreystair.peers import PeerClients, PeerError
 from comfreystair.peers.messages import definitions
 
-# Life of the duty without renewal, in seconds: it outlasts an outage of the
-# store as long as requests with keys are served.
+# Life of the duty in the store without renewal, in seconds.
 _LEASE_SECONDS: Final = 6.0
+# A holder gives up after this long without renewal, in seconds: a little less
+# than requests with keys go on without a proof.
+_HOLD_SECONDS: Final = 4.2
 _RENEW_SECONDS: Final = 1.5
 _CHECK_SECONDS: Final = 0.5
 # Each later rank waits this much longer before it takes a free duty.
@@ -103,10 +105,12 @@
         now = read_clock()
         if now - self._renewed_at < _RENEW_SECONDS:
             return
-        if await self._store.keep_lease(self._lease):
+        is_lapsed = now - self._renewed_at >= _HOLD_SECONDS
+        if not is_lapsed and await self._store.keep_lease(self._lease):
             self._renewed_at = now
-            self._keeper.extend(now + _LEASE_SECONDS)
-            return
+            if self._keeper.extend(now + _HOLD_SECONDS):
+                return
+        # Whoever asks may take the duty from now on, so it is not resumed.
         self._lease = 0
         self._keeper.stop()
         self._log.write('keeper_lapsed', zone=self._state.own.zone)
@@ -131,7 +135,7 @@
         self._renewed_at = asked_at
         self._state.keepers = {**self._state.keepers, own.zone: own}
         since = await self._find_start()
-        self._keeper.start(since, asked_at + _LEASE_SECONDS)
+        self._keeper.start(since, asked_at + _HOLD_SECONDS)
         self._log.write(
             'keeper_taken', zone=own.zone, was_proved_ended=bool(revision)
         )
@@ -163,10 +167,11 @@
         return await self._is_ended(holder)
 
     async def _is_ended(self, holder) -> bool:
-        """Tell whether a holder's process is proved to have ended."""
+        """Tell whether a holder is proved to have given up."""
         own = self._state.own
         if holder.name == own.name:
-            return holder.incarnation != own.incarnation
+            is_same = holder.incarnation == own.incarnation
+            return not (is_same and self._lease)
         if self._find_rank() > _MOST_WATCHERS:
             return False
         return await is_ended(self._peers, holder)
@@ -181,20 +186,20 @@
         return find_rank(state.own.zone, names, state.own.name)
 
 
-async def is_ended(peers: PeerClients, holder) -> bool:
-    """Tell whether one life of an instance is proved to have ended.
+async def is_ended(peers: PeerClients, holder: InstanceRecord) -> bool:
+    """Tell whether a holder is proved to have given up the duty.
 
-    Only another life's answer proves it: a partition may refuse connections
-    to a process that still runs.
+    Another life's answer proves it as well; a refused connection does not, as
+    a partition may refuse connections to a process that still runs.
     """
     try:
         answer = await peers.call(
             holder.address,
             'identify',
             definitions.Empty(),
-            definitions.GroupConfirmation,
+            definitions.Identity,
             _ASK_SECONDS,
         )
     except PeerError:
         return False
-    return answer.incarnation != holder.incarnation
+    return answer.incarnation != holder.incarnation or not answer.is_keeper
--- a/comfreystair/coordination/proofs.py
+++ b/comfreystair/coordination/proofs.py
@@ -9,8 +9,9 @@
 
 from comfreystair.clocks import read_clock
 from comfreystair.controllers.leadership import PROOF_SECONDS, Leadership
+from comfreystair.coordination.plans import PlanBook
 from comfreystair.coordination.ranks import find_rank
-from comfreystair.coordination.records import InstanceRecord
+from comfreystair.coordination.records import InstanceRecord, Item
 from comfreystair.coordination.state import FleetState
 from comfreystair.observability.decisions import DecisionLog
 from comfreystair.peers import PeerClients, PeerError
@@ -18,6 +19,7 @@
 
 # Bound on asking for a proof, in seconds.
 _ASK_SECONDS: Final = 0.2
+_FETCH_SECONDS: Final = 0.5
 # An instance without a young proof is not asked again for this long, in
 # seconds.
 _AVOID_SECONDS: Final = 2.0
@@ -30,9 +32,14 @@
     """Give proofs to other instances, and take theirs."""
 
     def __init__(
-        self, state: FleetState, peers: PeerClients, log: DecisionLog
+        self,
+        state: FleetState,
+        plans: PlanBook,
+        peers: PeerClients,
+        log: DecisionLog,
     ) -> None:
         """Take the parts."""
+        self._plans = plans
         self._state = state
         self._peers = peers
         self._log = log
@@ -73,9 +80,8 @@
         """Answer another instance with all proofs held here."""
         now = read_clock()
         self._followers[request.address] = now
-        plan = self._state.plan
         return definitions.Proof(
-            plan_revision=plan.revision if plan else 0,
+            plan_revision=self._plans.revision,
             plan_age_seconds=self._state.find_plan_age(now),
             groups=[
                 definitions.GroupProof(
@@ -94,25 +100,33 @@
             proof = await self._peers.call(
                 source.address, 'proof', request, definitions.Proof, _ASK_SECONDS
             )
+            await self._catch_up(source, proof)
         except PeerError as error:
             self._avoid(source, str(error))
             return False
-        plan = self._state.plan
-        known = plan.revision if plan else 0
-        if proof.plan_revision > known:
-            return False
-        if proof.plan_revision < known or (
-            proof.plan_age_seconds > _MOST_AGE_SECONDS
-        ):
+        is_old = proof.plan_age_seconds > _MOST_AGE_SECONDS
+        if is_old or proof.plan_revision < self._plans.revision:
             self._avoid(source, f'proof of {proof.plan_age_seconds:.1f} s')
             return False
-        self._state.plan_proved_at = max(
-            self._state.plan_proved_at, asked_at - proof.plan_age_seconds
-        )
+        self._plans.prove(asked_at - proof.plan_age_seconds)
         for one in proof.groups:
             await self._learn(one, asked_at)
         return True
 
+    async def _catch_up(self, source: InstanceRecord, proof) -> None:
+        """Fetch the plan that a proof is of, if it is newer."""
+        if proof.plan_revision <= self._plans.revision:
+            return
+        read = await self._peers.call(
+            source.address,
+            'plan',
+            definitions.Empty(),
+            definitions.PlanDocument,
+            _FETCH_SECONDS,
+        )
+        item = Item(read.content, read.revision)
+        self._plans.take(item, float('-inf'), source.name)
+
     async def _learn(self, proof, asked_at: float) -> None:
         group = self._state.find_group(proof.record.group)
         record = from_notice(proof.record)
--- a/comfreystair/coordination/pulse.py
+++ b/comfreystair/coordination/pulse.py
@@ -7,12 +7,12 @@
 """
 
 import random
-from collections.abc import Callable
 from typing import Final
 
 import curio
 
 from comfreystair.clocks import read_clock
+from comfreystair.coordination.plans import PlanBook
 from comfreystair.coordination.proofs import ProofExchange
 from comfreystair.coordination.records import (
     GROUPS_PREFIX,
@@ -26,12 +26,13 @@
 )
 from comfreystair.coordination.state import FleetState
 from comfreystair.exceptions import ComfreystairError
-from comfreystair.manifest.serving import ServingPlan
 from comfreystair.observability.decisions import DecisionLog
 
 # Time between proofs, in seconds: a quarter of a proof's life.
 _PULSE_SECONDS: Final = 0.7
 _RETRY_SECONDS: Final = 0.15
+# Between two reads, however urgently they are asked for, in seconds.
+_LEAST_PAUSE_SECONDS: Final = 0.05
 # Life of this instance's registration without renewal, in seconds: twice a
 # proof's, so that no proof outlives the registration it implies.
 LEASE_SECONDS: Final = 7.0
@@ -39,8 +40,6 @@
 # Keys in one call at most, as the store states it.
 _MOST_KEYS: Final = 32
 
-ParsePlan = Callable[[Item], ServingPlan]
-
 
 class Pulse:
     """Read proofs from the store."""
@@ -50,7 +49,7 @@
         state: FleetState,
         store: StoreClient,
         plan_key: str,
-        parse_plan: ParsePlan,
+        plans: PlanBook,
         exchange: ProofExchange,
         log: DecisionLog,
     ) -> None:
@@ -59,18 +58,19 @@
         self._state = state
         self._store = store
         self._plan_key = plan_key
-        self._parse_plan = parse_plan
+        self._plans = plans
         self._log = log
         self._own_key = f'{INSTANCES_PREFIX}{state.own.name}'
         self._own_revision = 0
         self._lease = 0
         self._renewed_at = float('-inf')
+        self._tried_at = float('-inf')
         self._wake = curio.Event()
         self._is_reached = False
 
     @property
     def is_reached(self) -> bool:
-        """Tell whether the last call was answered."""
+        """Tell whether the last proof came, from the store or from others."""
         return self._is_reached
 
     async def hurry(self) -> None:
@@ -79,17 +79,23 @@
 
     async def run(self) -> None:
         """Read proofs until cancelled."""
+        pause = _RETRY_SECONDS
         while True:
-            pause = _PULSE_SECONDS * random.uniform(0.85, 1.15)  # noqa: S311
             try:
                 await self._beat()
             except ComfreystairError as error:
                 self._note_reached(is_reached=False, reason=str(error))
-                if not await self._take_others():
-                    pause = _RETRY_SECONDS * random.uniform(0.5, 1.5)  # noqa: S311
-            async with curio.ignore_after(pause):
+                pause = min(2 * pause, _PULSE_SECONDS)
+            else:
+                self._note_reached(is_reached=True, reason='')
+                pause = _PULSE_SECONDS
+            jitter = random.uniform(0.85, 1.15)  # noqa: S311
+            await curio.sleep(_LEAST_PAUSE_SECONDS)
+            async with curio.ignore_after(pause * jitter):
                 await self._wake.wait()
             self._wake.clear()
+            if pause == _PULSE_SECONDS:
+                pause = _RETRY_SECONDS
 
     async def leave(self) -> None:
         """Take this instance off the list."""
@@ -97,19 +103,28 @@
             await self._store.end_lease(self._lease)
 
     async def _beat(self) -> None:
-        if not self._own_revision:
-            await self._register()
-        elif read_clock() - self._renewed_at > _RENEW_SECONDS:
-            await self._renew()
-        if self._state.plan and not self._exchange.is_reader:
-            source = self._exchange.list_sources()[0]
-            if await self._exchange.take(source):
+        """Take a proof over, or read the store, or ask other zones."""
+        exchange = self._exchange
+        if self._state.plan and not exchange.is_reader:
+            if await exchange.take(exchange.list_sources()[0]):
+                await self._try_renew()
                 return
+        try:
+            await self._read_store()
+        except ComfreystairError as error:
+            self._log.write('store_not_read', reason=error)
+            if not await self._take_others():
+                raise
+
+    async def _read_store(self) -> None:
+        if self._own_revision:
+            await self._renew()
+        else:
+            await self._register()
         groups = self._list_groups()
         room = _MOST_KEYS - 2
         for start in range(0, max(len(groups), 1), room):
             await self._prove(groups[start : start + room])
-        self._note_reached(is_reached=True, reason='')
 
     async def _take_others(self) -> bool:
         """Take proofs from other zones while the store does not answer."""
@@ -120,10 +135,21 @@
                 return True
         return False
 
+    async def _try_renew(self) -> None:
+        """Stay on the list; those that give proofs know of it besides."""
+        now = read_clock()
+        if now - self._tried_at < _RENEW_SECONDS:
+            return
+        self._tried_at = now
+        try:
+            await (self._renew() if self._own_revision else self._register())
+        except ComfreystairError as error:
+            self._log.write('registration_not_renewed', reason=error)
+
     async def _prove(self, groups: list[str]) -> None:
         state = self._state
         expected = {
-            self._plan_key: state.plan.revision if state.plan else 0,
+            self._plan_key: self._plans.revision,
             self._own_key: self._own_revision,
         }
         for group in groups:
@@ -134,7 +160,8 @@
         if isinstance(outcome, Conflict):
             await self._take_conflict(expected, outcome, groups, asked_at)
             return
-        state.plan_proved_at = max(state.plan_proved_at, asked_at)
+        if self._plans.revision:
+            self._plans.prove(asked_at)
         for group in groups:
             await self._learn(group, None, asked_at)
 
@@ -151,7 +178,9 @@
             self._own_revision = 0
             await self._wake.set()
             return
-        self._take_plan(found.get(self._plan_key), asked_at)
+        plan = found.get(self._plan_key, missing)
+        if plan.revision:
+            self._plans.take(plan, asked_at, 'store')
         for group in groups:
             key = f'{GROUPS_PREFIX}{group}'
             item = found.get(key, missing)
@@ -159,21 +188,6 @@
         if set(self._list_groups()) - set(groups):
             await self._wake.set()
 
-    def _take_plan(self, item: Item | None, asked_at: float) -> None:
-        state = self._state
-        if item is None or not item.revision:
-            return
-        known = state.plan.revision if state.plan else 0
-        if item.revision > known:
-            state.plan = self._parse_plan(item)
-            self._log.write(
-                'plan_in_force',
-                version=state.plan.version,
-                revision=item.revision,
-                routes=len(state.plan.routes),
-            )
-        state.plan_proved_at = max(state.plan_proved_at, asked_at)
-
     async def _learn(
         self, group: str, item: Item | None, asked_at: float
     ) -> None:
@@ -222,6 +236,8 @@
 
     async def _renew(self) -> None:
         asked_at = read_clock()
+        if asked_at - self._renewed_at < _RENEW_SECONDS:
+            return
         if await self._store.keep_lease(self._lease):
             self._renewed_at = asked_at
         else:
@@ -232,6 +248,6 @@
     def _note_reached(self, is_reached: bool, reason: str) -> None:
         if is_reached != self._is_reached:
             self._is_reached = is_reached
-            event = 'store_regained' if is_reached else 'store_lost'
+            event = 'proofs_regained' if is_reached else 'proofs_lost'
             age = self._state.find_plan_age(read_clock())
             self._log.write(event, reason=reason, proof_age=age)
--- a/comfreystair/coordination/state.py
+++ b/comfreystair/coordination/state.py
@@ -2,6 +2,7 @@
 
 import curio
 
+from comfreystair.clocks import read_clock
 from comfreystair.controllers.leadership import LeadershipController
 from comfreystair.coordination.records import InstanceRecord
 from comfreystair.manifest.serving import ServingPlan
@@ -50,7 +51,9 @@
         self.plan_proved_at = float('-inf')
         self.targets: dict[str, TargetEntry] = {}
         self.instances: dict[str, InstanceRecord] = {own.name: own}
-        self.recent: dict[str, tuple[InstanceRecord, float]] = {}
+        self.recent: dict[str, tuple[InstanceRecord, float]] = {
+            own.name: (own, read_clock())
+        }
         self.keepers: dict[str, InstanceRecord] = {}
         self.is_draining = False
         self._groups: dict[str, GroupState] = {}
--- a/comfreystair/entry.py
+++ b/comfreystair/entry.py
@@ -23,6 +23,7 @@
 from comfreystair.coordination.directory import Directory
 from comfreystair.coordination.keepers import KeeperDuty
 from comfreystair.coordination.leaders import Leaders
+from comfreystair.coordination.plans import PlanBook
 from comfreystair.coordination.proofs import ProofExchange
 from comfreystair.coordination.pulse import Pulse
 from comfreystair.coordination.records import InstanceRecord
@@ -96,9 +97,18 @@
             HttpClient(self._dial, settings.store.address), _STORE_SECONDS
         )
         self._peers = PeerClients(self._dial, _PEER_SECONDS, '')
-        self._exchange = ProofExchange(self._state, self._peers, self._log)
+        self._plans = PlanBook(self._state, parse_plan, self._log)
+        self._exchange = ProofExchange(
+            self._state, self._plans, self._peers, self._log
+        )
         self._pulse = Pulse(
-            self._state, store, PLAN_KEY, parse_plan, self._exchange, self._log
+            self._state,
+            store,
+            PLAN_KEY,
+            self._plans,
+            self._exchange,
+            self._log,
+
         )
         self._directory = Directory(
             self._state, store, TARGETS_PREFIX, parse_targets, self._log
@@ -192,12 +202,14 @@
             'group': Method(definitions.GroupNotice, self._leaders.take_notice),
             'heard': Method(definitions.GroupInquiry, self._leaders.tell_heard),
             'proof': Method(definitions.ProofRequest, self._exchange.give),
+            'plan': Method(definitions.Empty, self._plans.give),
             'identify': Method(definitions.Empty, self._identify),
         }
 
     async def _identify(self, _request: object) -> object:
-        return definitions.GroupConfirmation(
-            incarnation=self._state.own.incarnation, heard_ms=0
+        return definitions.Identity(
+            incarnation=self._state.own.incarnation,
+            is_keeper=self._keeper.is_pending,
         )
 
     async def _open(
@@ -216,7 +228,7 @@
         await self._board.update(
             self._state.targets.values(),
             plan.connections if plan else {},
-            len(self._state.instances),
+            len(self._state.recent),
         )
 
     async def _accept(self, sock: socket.socket) -> None:
--- a/comfreystair/peers/comfreystair.thrift
+++ b/comfreystair/peers/comfreystair.thrift
@@ -152,3 +152,13 @@
 struct GroupInquiry {
     1: string group
 }
+
+struct PlanDocument {
+    1: i64 revision,
+    2: binary content
+}
+
+struct Identity {
+    1: string incarnation,
+    2: bool is_keeper
+}
