Found a keeper's own lapse, a first primary and a foreign service at an address

Causes, each seen to fail in tests/platform/test_path.py first: an instance that took its lapsed duty up again waited a lease for itself; the duty of writing down a group's first primary blocked changes for 5 s; a target whose address another service has was never missed.

--- a/comfreystair/coordination/keepers.py
+++ b/comfreystair/coordination/keepers.py
@@ -131,10 +131,10 @@
         if not isinstance(outcome, Committed):
             await self._store.end_lease(lease)
             return
+        since = await self._find_start()
         self._lease = lease
         self._renewed_at = asked_at
         self._state.keepers = {**self._state.keepers, own.zone: own}
-        since = await self._find_start()
         self._keeper.start(since, asked_at + _HOLD_SECONDS)
         self._log.write(
             'keeper_taken', zone=own.zone, was_proved_ended=bool(revision)
--- a/comfreystair/coordination/leaders.py
+++ b/comfreystair/coordination/leaders.py
@@ -201,6 +201,8 @@
             return '' if record.revision else self._find_first(name)
         if record.is_changing:
             return _STALLED
+        if not record.primary:
+            return self._find_first(name)
         entry = self._state.targets.get(record.primary)
         if entry is None:
             return _GONE
@@ -305,6 +307,9 @@
         else:
             revision = outcome.revision
         await self._publish(name, Leadership(primary, term, False, revision))
+        if not change.old.primary:
+            # Nothing was promoted, so the next change need not wait.
+            await self._store.end_lease(change.lease)
 
     async def _announce(self, name: str, reason: str) -> Change:
         """Take the duty and mark the group's record, both or neither."""
--- a/comfreystair/sessions/execution.py
+++ b/comfreystair/sessions/execution.py
@@ -206,6 +206,9 @@
             return self._refuse_full(place, error)
         except TargetRefusedError as error:
             self._log.write('target_refused', target=ident, why=error)
+            if error.failure is Failure.wrong_target:
+                await self._note_lost(place, error)
+                return fail(Failure.overloaded, _RETRY_ADVICE)
             self._board.find_health(ident).shed(_SHED_SECONDS, read_clock())
             return fail(Failure.overloaded, _RETRY_ADVICE)
         except TargetLostError as error:
--- /dev/null
+++ b/standins/platform/__init__.py
@@ -0,0 +1,1 @@
+"""A stand-in for the users' platform: store, promotions and targets."""
--- /dev/null
+++ b/standins/platform/deployment.py
@@ -0,0 +1,228 @@
+"""Start the stand-in platform and entry instances as processes."""
+
+import contextlib
+import json
+import os
+import pathlib
+import socket
+import subprocess
+import sys
+import time
+import urllib.request
+from typing import Final
+
+ZONE: Final = 'lima-a'
+GROUP: Final = 'permits'
+TARGETS: Final = ('t-one', 't-two', 't-three')
+KEY: Final = 'key-of-blue'
+ORGANISATION: Final = 'blue'
+_START_SECONDS: Final = 15.0
+
+
+def find_ports(count: int) -> list[int]:
+    """Return ports of the loopback interface that nobody listens on."""
+    with contextlib.ExitStack() as stack:
+        socks = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for sock in socks:
+            sock.bind(('127.0.0.1', 0))
+        return [sock.getsockname()[1] for sock in socks]
+
+
+class Deployment:
+    """A platform with one group of three targets, and some instances."""
+
+    def __init__(
+        self, directory: pathlib.Path, instances: int, lag: float = 0.02
+    ) -> None:
+        """Choose ports; nothing runs before :meth:`start`."""
+        ports = find_ports(1 + len(TARGETS) + 4 * instances)
+        self._directory = directory
+        self._port, *rest = ports
+        self._targets = dict(zip(TARGETS, rest, strict=False))
+        rest = rest[len(TARGETS) :]
+        self._instances = [
+            rest[4 * number : 4 * number + 4] for number in range(instances)
+        ]
+        self._lag = lag
+        self._processes: dict[str, subprocess.Popen] = {}
+
+    @property
+    def callers_ports(self) -> list[int]:
+        """Return where callers connect, by instance."""
+        return [ports[0] for ports in self._instances]
+
+    def start(self) -> None:
+        """Start everything and wait until all instances are ready."""
+        shape = self._directory / 'platform.json'
+        shape.write_text(
+            json.dumps(
+                {
+                    'port': self._port,
+                    'groups': {GROUP: self._targets},
+                    'lag': self._lag,
+                }
+            )
+        )
+        self._run('platform', ['standins.platform', str(shape)], {})
+        self._wait(lambda: self.command(plan=build_plan([KEY])))
+        for number in range(len(self._instances)):
+            self.start_instance(number)
+        for number in range(len(self._instances)):
+            self._wait(lambda number=number: self.is_ready(number))
+
+    def start_instance(self, number: int) -> None:
+        """Start one instance."""
+        callers, ready, peer, metrics = self._instances[number]
+        path = self._directory / f'entry-{number}.json'
+        host = '127.0.0.1'
+        path.write_text(
+            json.dumps(
+                {
+                    'instance': {
+                        'name': f'entry-{number}',
+                        'zone': ZONE,
+                        'address': host,
+                    },
+                    'zones': {ZONE: 'lima'},
+                    'listen': {
+                        'callers': f'{host}:{callers}',
+                        'ready': f'{host}:{ready}',
+                        'peer_port': peer,
+                        'metrics_port': metrics,
+                    },
+                    'store': {'address': f'{host}:{self._port}'},
+                    'promotion': {'address': f'{host}:{self._port}'},
+                }
+            )
+        )
+        self._run(
+            f'entry-{number}',
+            ['comfreystair.entry'],
+            {'COMFREYSTAIR_SETTINGS': str(path)},
+        )
+
+    def is_ready(self, number: int) -> bool:
+        """Tell whether an instance says that it takes callers."""
+        port = self._instances[number][1]
+        url = f'http://127.0.0.1:{port}/ready'
+        with urllib.request.urlopen(url, timeout=1) as answer:
+            return answer.status == 200
+
+    def read_metrics(self, number: int) -> str:
+        """Return an instance's metrics."""
+        port = self._instances[number][3]
+        url = f'http://127.0.0.1:{port}/metrics'
+        with urllib.request.urlopen(url, timeout=1) as answer:
+            return answer.read().decode()
+
+    def command(self, **command: object) -> dict:
+        """Have the platform do something and return what it saw so far."""
+        request = urllib.request.Request(
+            f'http://127.0.0.1:{self._port}/test',
+            data=json.dumps(command).encode(),
+        )
+        with urllib.request.urlopen(request, timeout=2) as answer:
+            return json.loads(answer.read())
+
+    def signal(self, number: int, signal_number: int) -> None:
+        """Send a signal to an instance."""
+        self._processes[f'entry-{number}'].send_signal(signal_number)
+
+    def wait_for_end(self, number: int, seconds: float) -> int:
+        """Return an instance's exit status."""
+        return self._processes[f'entry-{number}'].wait(seconds)
+
+    def read_log(self, number: int) -> str:
+        """Return what an instance has logged."""
+        return (self._directory / f'entry-{number}.log').read_text()
+
+    def stop(self) -> None:
+        """End all processes."""
+        for process in self._processes.values():
+            process.kill()
+            process.wait()
+
+    def _run(self, name: str, module: list[str], env: dict) -> None:
+        with open(self._directory / f'{name}.log', 'ab') as output:
+            self._processes[name] = subprocess.Popen(
+                [sys.executable, '-m', *module],
+                env={**os.environ, **env},
+                stdout=output,
+                stderr=output,
+            )
+
+    def _wait(self, attempt) -> None:
+        give_up_at = time.monotonic() + _START_SECONDS
+        while True:
+            try:
+                if attempt():
+                    return
+            except OSError:
+                if time.monotonic() > give_up_at:
+                    raise
+            time.sleep(0.05)
+
+
+def build_plan(keys: list[str], rate: float = 5000, version: int = 1) -> dict:
+    """Return the operators' document with a route of each kind."""
+    return {
+        'Version': version,
+        'Routes': [
+            _build_route('strict', 'primary', 0),
+            _build_route('loose', 'bounded_stale', 1500),
+            _build_route('own', 'read_your_writes', 2500),
+        ],
+        'Services': [{'Name': GROUP, 'MaxConns': 34, 'SyncReplicas': 0}],
+        'Limits': {'TxIdleMs': 3000},
+        'Tenants': [
+            {
+                'Name': ORGANISATION,
+                'ApiKeys': keys,
+                'RatePerS': rate,
+                'Burst': rate,
+            }
+        ],
+    }
+
+
+def _build_route(database: str, kind: str, max_age_ms: int) -> dict:
+    return {
+        'Name': f'r-{database}',
+        'Host': database,
+        'Type': kind,
+        'TimeoutMs': 1500,
+        'TargetLatencyMs': 400,
+        'Prio': 1,
+        'Service': GROUP,
+        'MaxStaleMs': max_age_ms,
+        'Public': False,
+    }
+
+
+class Caller:
+    """A caller's session, with blocking calls."""
+
+    def __init__(self, port: int, database: str, key: str = KEY) -> None:
+        """Connect and introduce itself."""
+        self._sock = socket.create_connection(('127.0.0.1', port), timeout=5)
+        self._stream = self._sock.makefile('rb')
+        self._number = 0
+        self._sock.sendall(f'STARTUP {database} {key}\r\n'.encode())
+        self.greeting = self._read_line()
+
+    def ask(self, text: str) -> tuple[str, ...]:
+        """Run a statement and return the lines of its answer."""
+        self._number += 1
+        ident = f'{self._sock.getsockname()[1]:x}{self._number:04x}'
+        self._sock.sendall(f'QUERY {ident} {text}\r\n'.encode())
+        lines = [self._read_line()]
+        while lines[-1] and not lines[-1].startswith('READY'):
+            lines.append(self._read_line())
+        return tuple(lines)
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._sock.close()
+
+    def _read_line(self) -> str:
+        return self._stream.readline().decode().rstrip('\r\n')
--- /dev/null
+++ b/standins/platform/group.py
@@ -0,0 +1,66 @@
+"""One database group of the stand-in: a log, its copies, who leads."""
+
+import time
+
+
+class Copy:
+    """One target's copy of the log."""
+
+    def __init__(self, ident: str) -> None:
+        """Start with an empty log."""
+        self.ident = ident
+        self.log: list[tuple[float, dict[str, str]]] = []
+        self.term = 1
+        self.is_primary = False
+        self.is_up = True
+        self.runs: list[tuple[str, str, str]] = []
+
+    def read(self, item: str, lag: float) -> str:
+        """Return an item as this copy has applied it."""
+        for _at, writes in reversed(self.list_applied(lag)):
+            if item in writes:
+                return writes[item]
+        return 'nothing'
+
+    def list_applied(self, lag: float) -> list[tuple[float, dict[str, str]]]:
+        """Return the part of the log that reads see."""
+        if self.is_primary:
+            return self.log
+        limit = time.monotonic() - lag
+        return [entry for entry in self.log if entry[0] <= limit]
+
+
+class Group:
+    """Three copies; the primary's log goes to the replicas at once."""
+
+    def __init__(self, name: str, idents: list[str], lag: float) -> None:
+        """Let the first copy lead.
+
+        :param lag: seconds between receiving and applying at replicas.
+        """
+        self.name = name
+        self.lag = lag
+        self.copies = {ident: Copy(ident) for ident in idents}
+        self.copies[idents[0]].is_primary = True
+
+    def commit(self, copy: Copy, writes: dict[str, str]) -> None:
+        """Add an entry to the primary's log and to reachable replicas'."""
+        copy.log.append((time.monotonic(), writes))
+        for other in self.copies.values():
+            if other.is_up and not other.is_primary:
+                other.log = list(copy.log)
+
+    def promote(self, ident: str) -> bool:
+        """Let a copy lead the next term with what it holds."""
+        copy = self.copies[ident]
+        if not copy.is_up:
+            return False
+        if copy.is_primary:
+            return True
+        term = max(one.term for one in self.copies.values()) + 1
+        for other in self.copies.values():
+            if other.is_up:
+                other.is_primary = False
+                other.term = term
+        copy.is_primary = True
+        return True
