--- a/comfreystair/controllers/grants.py
+++ b/comfreystair/controllers/grants.py
@@ -93,9 +93,7 @@
         while self._grants:
             grant = self._grants.popleft()
             if grant.until > now and grant.tokens >= _WHOLE:
-                self._grants.appendleft(
-                    grant._replace(tokens=grant.tokens - 1)
-                )
+                self._grants.appendleft(grant._replace(tokens=grant.tokens - 1))
                 return True
         return False
 
--- a/comfreystair/controllers/succession.py
+++ b/comfreystair/controllers/succession.py
@@ -31,9 +31,7 @@
     standings: Iterable[Standing], term: int
 ) -> Standing | None:
     """Return a target that already leads a later term."""
-    leaders = [
-        one for one in standings if one.is_primary and one.term > term
-    ]
+    leaders = [one for one in standings if one.is_primary and one.term > term]
     return max(leaders, key=lambda one: one.term, default=None)
 
 
--- a/comfreystair/coordination/admission.py
+++ b/comfreystair/coordination/admission.py
@@ -88,7 +88,11 @@
         )
         try:
             grant = await self._peers.call(
-                keeper.address, 'grant', request, definitions.Grant, _ASK_SECONDS
+                keeper.address,
+                'grant',
+                request,
+                definitions.Grant,
+                _ASK_SECONDS,
             )
         except PeerError as error:
             self._avoided[keeper.incarnation] = now + _AVOID_SECONDS
--- a/comfreystair/coordination/directory.py
+++ b/comfreystair/coordination/directory.py
@@ -70,9 +70,7 @@
         records = await self._store.list(RECORDS_PREFIX, is_stale_ok=True)
         self._take_records(records, read_clock())
 
-    def _take_targets(
-        self, found: dict[str, TargetEntry], now: float
-    ) -> None:
+    def _take_targets(self, found: dict[str, TargetEntry], now: float) -> None:
         known = self._state.targets
         for ident, entry in found.items():
             if known.get(ident) != entry:
@@ -92,9 +90,7 @@
         instances = _decode(items, INSTANCES_PREFIX)
         instances[state.own.name] = state.own
         for name in instances.keys() ^ state.instances.keys():
-            self._log.write(
-                'instance', name=name, is_listed=name in instances
-            )
+            self._log.write('instance', name=name, is_listed=name in instances)
         state.instances = instances
         for name, record in instances.items():
             state.recent[name] = (record, now)
--- a/comfreystair/coordination/leaders.py
+++ b/comfreystair/coordination/leaders.py
@@ -440,9 +440,7 @@
             return None
 
         async def order(connection: Connection) -> TargetReport | None:
-            return await connection.step_down(
-                change.old.term + 1, _ASK_SECONDS
-            )
+            return await connection.step_down(change.old.term + 1, _ASK_SECONDS)
 
         report = await self._ask(entry, order)
         self._log.write(
@@ -473,9 +471,7 @@
             is_ready = read_clock() >= give_up_at or has_caught_up(
                 standings, end, change.old.primary
             )
-            successor = choose_successor(
-                standings, change.old.primary, refused
-            )
+            successor = choose_successor(standings, change.old.primary, refused)
             if not change.old.primary:
                 successor = _find_leader(standings)
                 if successor is not None:
--- a/comfreystair/coordination/proofs.py
+++ b/comfreystair/coordination/proofs.py
@@ -50,7 +50,9 @@
         """Return the addresses of those that may hold proofs from here."""
         oldest = read_clock() - 2 * PROOF_SECONDS
         self._followers = {
-            address: at for address, at in self._followers.items() if at > oldest
+            address: at
+            for address, at in self._followers.items()
+            if at > oldest
         }
         return list(self._followers)
 
@@ -98,7 +100,11 @@
         request = definitions.ProofRequest(address=self._state.own.address)
         try:
             proof = await self._peers.call(
-                source.address, 'proof', request, definitions.Proof, _ASK_SECONDS
+                source.address,
+                'proof',
+                request,
+                definitions.Proof,
+                _ASK_SECONDS,
             )
             await self._catch_up(source, proof)
         except PeerError as error:
@@ -151,7 +157,8 @@
         ready = [
             one
             for one in self._state.instances.values()
-            if one.zone == zone and self._avoided.get(one.incarnation, now) <= now
+            if one.zone == zone
+            and self._avoided.get(one.incarnation, now) <= now
         ]
         names = [one.name for one in ready]
         return min(
--- a/comfreystair/coordination/pulse.py
+++ b/comfreystair/coordination/pulse.py
@@ -222,7 +222,10 @@
         expected = {self._own_key: self._own_revision}
         for _attempt in range(3):
             outcome = await self._store.change(
-                expected, {self._own_key: content}, self._lease, (self._own_key,)
+                expected,
+                {self._own_key: content},
+                self._lease,
+                (self._own_key,),
             )
             if isinstance(outcome, Committed):
                 self._own_revision = outcome.revision
--- a/comfreystair/coordination/records.py
+++ b/comfreystair/coordination/records.py
@@ -100,9 +100,7 @@
         read = msgspec.json.decode(item.blob, type=GroupRecord)
     except msgspec.DecodeError:
         return Leadership(is_changing=True, revision=item.revision)
-    return Leadership(
-        read.primary, read.term, read.is_changing, item.revision
-    )
+    return Leadership(read.primary, read.term, read.is_changing, item.revision)
 
 
 def decode_instance(item: Item) -> InstanceRecord | None:
--- a/comfreystair/entry.py
+++ b/comfreystair/entry.py
@@ -108,7 +108,6 @@
             self._plans,
             self._exchange,
             self._log,
-
         )
         self._directory = Directory(
             self._state, store, TARGETS_PREFIX, parse_targets, self._log
@@ -236,9 +235,7 @@
             while True:
                 client, _address = await sock.accept()
                 client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-                await curio.spawn(
-                    serve_caller, client, self._desk, daemon=True
-                )
+                await curio.spawn(serve_caller, client, self._desk, daemon=True)
 
     def _show_ready(self) -> tuple[int, str]:
         if self._desk.is_ready:
--- a/comfreystair/observability/counters.py
+++ b/comfreystair/observability/counters.py
@@ -36,8 +36,7 @@
         for bound, count in zip((*_BOUNDS, '+Inf'), self._buckets, strict=True):
             total += count
             lines.append(
-                'comfreystair_statement_seconds_bucket'
-                f'{{le="{bound}"}} {total}'
+                f'comfreystair_statement_seconds_bucket{{le="{bound}"}} {total}'
             )
         lines.extend(
             (
--- a/comfreystair/platform/store.py
+++ b/comfreystair/platform/store.py
@@ -133,9 +133,7 @@
         """End a lease with its keys."""
         await self._call('DELETE', f'/kv-lease-end/{lease}')
 
-    async def _call(
-        self, method: str, path: str, body: object = None
-    ) -> Reply:
+    async def _call(self, method: str, path: str, body: object = None) -> Reply:
         reply = await self._http.call(method, path, self._seconds, body)
         if reply.status in _REFUSALS:
             raise PlatformRefusedError(f'status {reply.status}', path)
--- a/comfreystair/platform/targets.py
+++ b/comfreystair/platform/targets.py
@@ -103,9 +103,7 @@
         """Return what the target says of itself; nothing when it is busy."""
         return _parse_report(await self._ask(OWN_IDENT, 'STATUS', seconds))
 
-    async def step_down(
-        self, term: int, seconds: float
-    ) -> TargetReport | None:
+    async def step_down(self, term: int, seconds: float) -> TargetReport | None:
         """Make a primary of a lower term a replica."""
         answer = await self._ask(OWN_IDENT, f'STEPDOWN {term}', seconds)
         return _parse_report(answer)
--- a/comfreystair/pooling/pool.py
+++ b/comfreystair/pooling/pool.py
@@ -224,9 +224,7 @@
         self.decision: SeatDecision | None = None
 
 
-async def align(
-    pooled: Pooled, values: dict[str, str], seconds: float
-) -> None:
+async def align(pooled: Pooled, values: dict[str, str], seconds: float) -> None:
     """Give a connection exactly a session's values.
 
     :raises TargetLostError: when the target did not confirm them.
@@ -242,9 +240,7 @@
             pooled.values[name] = text
 
 
-async def find_name(
-    pooled: Pooled, prepared: Prepared, seconds: float
-) -> str:
+async def find_name(pooled: Pooled, prepared: Prepared, seconds: float) -> str:
     """Return what a prepared statement is called on a connection.
 
     :raises TargetLostError: when the target did not prepare it.
--- a/comfreystair/sessions/desk.py
+++ b/comfreystair/sessions/desk.py
@@ -37,9 +37,7 @@
 _DATA_KINDS: Final = frozenset(
     (StatementKind.read, StatementKind.write, StatementKind.execute)
 )
-_BEGIN_KINDS: Final = frozenset(
-    (StatementKind.begin, StatementKind.begin_read)
-)
+_BEGIN_KINDS: Final = frozenset((StatementKind.begin, StatementKind.begin_read))
 _END_KINDS: Final = frozenset((StatementKind.commit, StatementKind.rollback))
 
 
--- a/comfreystair/sessions/execution.py
+++ b/comfreystair/sessions/execution.py
@@ -199,9 +199,7 @@
     ) -> Pooled | Answer:
         ident = place.pool.entry.ident
         try:
-            return await place.pool.take(
-                organisation, route.priority, seconds
-            )
+            return await place.pool.take(organisation, route.priority, seconds)
         except PoolError as error:
             return self._refuse_full(place, error)
         except TargetRefusedError as error:
--- a/comfreystair/sessions/placement.py
+++ b/comfreystair/sessions/placement.py
@@ -107,9 +107,7 @@
             if one.ident not in need.tried
         ]
         ident = choose_target(
-            self._board.list_candidates(
-                entries, primary, need.organisation
-            ),
+            self._board.list_candidates(entries, primary, need.organisation),
             floor,
             now,
             random.random,
