--- a/comfreystair/controllers/succession.py
+++ b/comfreystair/controllers/succession.py
@@ -27,11 +27,21 @@
     is_leaving: bool
 
 
-def find_newer_primary(
-    standings: Iterable[Standing], term: int
+def find_other_primary(
+    standings: Iterable[Standing], old_primary: str, term: int
 ) -> Standing | None:
-    """Return a target that already leads a later term."""
-    leaders = [one for one in standings if one.is_primary and one.term > term]
+    """Return a target that leads already, beside the old primary.
+
+    It leads a later term, or the same one: then it is the old primary come
+    back under another id, since only a promotion makes another target lead
+    and that begins a term.
+    """
+    leaders = [
+        one
+        for one in standings
+        if one.is_primary
+        and (one.term > term or (one.term == term and one.ident != old_primary))
+    ]
     return max(leaders, key=lambda one: one.term, default=None)
 
 
--- a/comfreystair/coordination/keepers.py
+++ b/comfreystair/coordination/keepers.py
@@ -65,6 +65,7 @@
         self._renewed_at = float('-inf')
         self._wanted_since: float | None = None
         self._last_holder: InstanceRecord | None = None
+        self._started_at = read_clock()
 
     async def run(self) -> None:
         """Follow the duty until cancelled."""
@@ -113,6 +114,7 @@
         # Whoever asks may take the duty from now on, so it is not resumed.
         self._lease = 0
         self._keeper.stop()
+        self._started_at = now
         self._log.write('keeper_lapsed', zone=self._state.own.zone)
 
     async def _take(self) -> None:
@@ -147,11 +149,15 @@
         )
 
     async def _find_start(self) -> float:
-        """Return when no earlier holder can hand out tokens any more.
+        """Return since when no earlier holder hands out tokens.
+
+        Buckets fill from then on.
 
         The store may have ended its lease early, during an outage.
         """
         last = self._last_holder
+        if last is not None and last.name == self._state.own.name:
+            return self._started_at
         if last is None or await self._is_ended(last):
             return read_clock()
         return read_clock() + _LEASE_SECONDS
--- a/comfreystair/coordination/leaders.py
+++ b/comfreystair/coordination/leaders.py
@@ -19,7 +19,7 @@
     MISSED_SECONDS,
     Standing,
     choose_successor,
-    find_newer_primary,
+    find_other_primary,
     has_caught_up,
     is_missed_widely,
     parse_received,
@@ -465,7 +465,9 @@
         refused: set[str] = set()
         while read_clock() < change.until - _DUTY_MARGIN_SECONDS:
             standings = await self._ask_all(change.group)
-            leader = find_newer_primary(standings, change.old.term)
+            leader = find_other_primary(
+                standings, change.old.primary, change.old.term
+            )
             if leader is not None:
                 return leader.ident, leader.term
             is_ready = read_clock() >= give_up_at or has_caught_up(
@@ -503,8 +505,10 @@
         while read_clock() < give_up_at:
             entry = self._state.targets.get(successor.ident)
             report = await self._ask_status(entry) if entry else None
-            if report and report.is_primary and report.term > change.old.term:
-                return report.term
+            if report and report.is_primary:
+                # A target that led before keeps its term.
+                if successor.is_primary or report.term > change.old.term:
+                    return report.term
             await curio.sleep(_POLL_SECONDS)
         return 0
 
--- a/comfreystair/sessions/placement.py
+++ b/comfreystair/sessions/placement.py
@@ -14,8 +14,9 @@
 
 # How long to wait before looking again, in seconds.
 _LOOK_SECONDS: Final = 0.03
-# Share of a statement's time that it may wait for a primary to be known.
-_WAIT_SHARE: Final = 0.8
+# Share of a statement's time that it may wait for a primary to be known:
+# under half, so that the caller can still turn to another instance.
+_WAIT_SHARE: Final = 0.45
 
 
 class Place(NamedTuple):
@@ -84,10 +85,12 @@
             await group.wait(_LOOK_SECONDS)
 
     def _is_hopeless(self, group: GroupState) -> bool:
-        """Tell whether there is no primary, and no way to learn of one."""
-        if self._is_store_reached() or group.leadership.record.is_changing:
+        """Tell whether no primary answers, and none can be promoted soon."""
+        if self._is_store_reached():
             return False
-        return not group.leadership.find_primary(read_clock())
+        now = read_clock()
+        primary = group.leadership.find_primary(now)
+        return not primary or self._board.find_health(primary).is_paused(now)
 
     def _look(self, need: Need, group: GroupState) -> Place | None:
         now = read_clock()
