--- a/comfreystair/controllers/windows.py
+++ b/comfreystair/controllers/windows.py
@@ -68,6 +68,6 @@
             grown = self._window + _GROWTH / self._window
             self._window = min(grown, self._most)
 
-    def find_wait(self, ahead: int) -> float:
-        """Return how long a request waits behind some others, in seconds."""
-        return ahead * self._recent / max(int(self._window), 1)
+    def find_time(self, ahead: int) -> float:
+        """Return how long a request behind some others takes, in seconds."""
+        return (ahead / max(int(self._window), 1) + 1) * self._recent
--- a/comfreystair/pooling/gates.py
+++ b/comfreystair/pooling/gates.py
@@ -28,13 +28,13 @@
     ) -> None:
         """Wait for a turn; :meth:`leave` must follow.
 
-        :param patience: seconds that the wait may take.
+        :param patience: seconds that waiting and running may take.
         :raises PoolError: it would take longer, or it did.
         """
         if self._window.has_room and not self._events:
             self._window.start()
             return
-        if self._window.find_wait(len(self._events) + 1) > patience:
+        if self._window.find_time(len(self._events) + 1) > patience:
             raise PoolError('too many wait', 'enter', self._ident)
         ticket = self._queue.add(organisation, priority, read_clock())
         event = curio.Event()
