--- a/comfreystair/conf/entry.py
+++ b/comfreystair/conf/entry.py
@@ -120,7 +120,7 @@
             'comfreystair.E102',
             LEVEL_ERROR,
             'keys must stop sooner than the plan is confirmed',
-            f'raise key_revocation_ms above {PROOF_SECONDS * 500:.0f}',
+            'raise key_revocation_ms',
         )
     ]
 
--- a/comfreystair/coordination/admission.py
+++ b/comfreystair/coordination/admission.py
@@ -23,6 +23,8 @@
 _AVOID_SECONDS: Final = 0.7
 # Advice when to come back while no keeper answers, in seconds.
 _NO_KEEPER_RETRY_SECONDS: Final = 0.5
+# Advice when to come back where this instance can't help, in seconds.
+_NOT_HERE_RETRY_SECONDS: Final = 0.2
 
 
 class Admission:
@@ -148,13 +150,13 @@
         """Answer another instance's question."""
         if not self.is_held or request.keeper != self._state.own.zone:
             return definitions.Grant(
-                tokens=0, retry_seconds=0.2, is_keeper=False
+                tokens=0, retry_seconds=_NOT_HERE_RETRY_SECONDS, is_keeper=False
             )
         now = read_clock()
         limits = self._find_limits(request.organisation)
         if limits is None:
             return definitions.Grant(
-                tokens=0, retry_seconds=0.2, is_keeper=True
+                tokens=0, retry_seconds=_NOT_HERE_RETRY_SECONDS, is_keeper=True
             )
         bucket = self._buckets.get(request.organisation)
         if bucket is None:
--- a/comfreystair/coordination/keepers.py
+++ b/comfreystair/coordination/keepers.py
@@ -5,13 +5,13 @@
 process answers.
 """
 
-import random
 from typing import Final
 
 import curio
 
 from comfreystair.clocks import read_clock
 from comfreystair.coordination.admission import Keeper
+from comfreystair.coordination.pauses import vary
 from comfreystair.coordination.ranks import find_rank
 from comfreystair.coordination.records import (
     KEEPERS_PREFIX,
@@ -74,15 +74,15 @@
                 await self._step()
             except ComfreystairError as error:
                 self._log.write('keeper_step_failed', reason=error)
-            jitter = random.uniform(0.8, 1.2)  # noqa: S311
-            await curio.sleep(_CHECK_SECONDS * jitter)
+            await curio.sleep(vary(_CHECK_SECONDS))
 
     async def leave(self) -> None:
         """Give the duty up."""
         self._keeper.stop()
         if self._lease:
-            lease, self._lease = self._lease, 0
-            await self._store.end_lease(lease)
+            ended = self._lease
+            self._lease = 0
+            await self._store.end_lease(ended)
 
     async def _step(self) -> None:
         if self._state.is_draining:
--- a/comfreystair/coordination/proofs.py
+++ b/comfreystair/coordination/proofs.py
@@ -61,10 +61,8 @@
 
         The own zone's part is missing where this instance is the reader.
         """
-        readers = {
-            zone: self._find_reader(zone)
-            for zone in {one.zone for one in self._state.instances.values()}
-        }
+        zones = {one.zone for one in self._state.instances.values()}
+        readers = {zone: self._find_reader(zone) for zone in sorted(zones)}
         own = self._state.own
         near = readers.pop(own.zone, None)
         far = [one for one in readers.values() if one is not None]
--- a/comfreystair/coordination/pulse.py
+++ b/comfreystair/coordination/pulse.py
@@ -6,12 +6,12 @@
 replaces a primary finds this instance in the list.
 """
 
-import random
 from typing import Final
 
 import curio
 
 from comfreystair.clocks import read_clock
+from comfreystair.coordination.pauses import vary
 from comfreystair.coordination.plans import PlanBook
 from comfreystair.coordination.proofs import ProofExchange
 from comfreystair.coordination.records import (
@@ -37,6 +37,7 @@
 # proof's, so that no proof outlives the registration it implies.
 LEASE_SECONDS: Final = 7.0
 _RENEW_SECONDS: Final = 2.0
+_MOST_ATTEMPTS: Final = 3
 # Keys in one call at most, as the store states it.
 _MOST_KEYS: Final = 32
 
@@ -89,9 +90,8 @@
             else:
                 self._note_reached(is_reached=True, reason='')
                 pause = _PULSE_SECONDS
-            jitter = random.uniform(0.85, 1.15)  # noqa: S311
             await curio.sleep(_LEAST_PAUSE_SECONDS)
-            async with curio.ignore_after(pause * jitter):
+            async with curio.ignore_after(vary(pause)):
                 await self._wake.wait()
             self._wake.clear()
             if pause == _PULSE_SECONDS:
@@ -220,7 +220,7 @@
             self._lease = await self._store.grant_lease(LEASE_SECONDS)
         content = encode_record(self._state.own)
         expected = {self._own_key: self._own_revision}
-        for _attempt in range(3):
+        for _ in range(_MOST_ATTEMPTS):
             outcome = await self._store.change(
                 expected,
                 {self._own_key: content},
--- a/comfreystair/coordination/state.py
+++ b/comfreystair/coordination/state.py
@@ -22,7 +22,8 @@
 
     async def announce(self) -> None:
         """Wake whoever waits for a primary."""
-        changed, self._changed = self._changed, curio.Event()
+        changed = self._changed
+        self._changed = curio.Event()
         await changed.set()
 
     async def wait(self, seconds: float) -> None:
--- a/comfreystair/entry.py
+++ b/comfreystair/entry.py
@@ -20,10 +20,13 @@
 )
 from comfreystair.controllers.membership import build_incarnation
 from comfreystair.coordination.admission import Admission, Keeper
+from comfreystair.coordination.changes import Changes
 from comfreystair.coordination.directory import Directory
 from comfreystair.coordination.keepers import KeeperDuty
 from comfreystair.coordination.leaders import Leaders
+from comfreystair.coordination.notices import Notices
 from comfreystair.coordination.plans import PlanBook
+from comfreystair.coordination.probes import Probes
 from comfreystair.coordination.proofs import ProofExchange
 from comfreystair.coordination.pulse import Pulse
 from comfreystair.coordination.records import InstanceRecord
@@ -121,14 +124,27 @@
             instance.name,
             _PROMOTE_SECONDS,
         )
-        self._leaders = Leaders(
+        probes = Probes(self._state, self._open_probe, self._log)
+        self._notices = Notices(
             self._state,
-            store,
             self._peers,
-            self._open_probe,
-            promoter.promote,
             self._pulse.hurry,
             self._exchange.list_followers,
+        )
+        changes = Changes(
+            self._state,
+            store,
+            probes,
+            self._notices,
+            promoter.promote,
+            self._log,
+        )
+        self._leaders = Leaders(
+            self._state,
+            changes,
+            probes,
+            self._notices,
+            self._pulse.hurry,
             self._log,
         )
         self._board = TargetBoard(instance.zone, self._open)
@@ -198,8 +214,8 @@
     def _build_methods(self) -> dict[str, Method]:
         return {
             'grant': Method(definitions.GrantRequest, self._keeper.grant),
-            'group': Method(definitions.GroupNotice, self._leaders.take_notice),
-            'heard': Method(definitions.GroupInquiry, self._leaders.tell_heard),
+            'group': Method(definitions.GroupNotice, self._notices.take_notice),
+            'heard': Method(definitions.GroupInquiry, self._notices.tell_heard),
             'proof': Method(definitions.ProofRequest, self._exchange.give),
             'plan': Method(definitions.Empty, self._plans.give),
             'identify': Method(definitions.Empty, self._identify),
--- a/comfreystair/observability/counters.py
+++ b/comfreystair/observability/counters.py
@@ -14,7 +14,7 @@
     def __init__(self) -> None:
         """Start at zero."""
         self._counts: collections.Counter[str] = collections.Counter()
-        self._buckets = [0] * (len(_BOUNDS) + 1)
+        self._buckets = [0 for _ in (*_BOUNDS, None)]
         self._seconds = 0.0
 
     def count(self, outcome: str) -> None:
--- a/comfreystair/platform/http.py
+++ b/comfreystair/platform/http.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 with JSON bodies over connections that are kept open."""
 
+from collections.abc import AsyncIterator
 from typing import Final, NamedTuple
 
 import curio
@@ -68,7 +69,8 @@
 
     async def drop(self) -> None:
         """Close resting connections, which may be silent for good."""
-        resting, self._resting = self._resting, []
+        resting = self._resting
+        self._resting = []
         for exchange in resting:
             await exchange.sock.close()
 
@@ -106,19 +108,26 @@
         wire += self._http.send(h11.EndOfMessage())
         await self.sock.sendall(wire)
         status, body = 0, bytearray()
+        async for event in self._read_events():
+            if isinstance(event, h11.Response):
+                status = event.status_code
+            elif isinstance(event, h11.Data):
+                body += event.data
+            if len(body) > _MAX_BODY_BYTES:
+                raise OSError('answer too long')
+        return Reply(status, bytes(body))
+
+    async def _read_events(self) -> AsyncIterator[h11.Event]:
+        """Yield the events of an answer up to its end."""
         while True:
             event = self._http.next_event()
             if event is h11.NEED_DATA:
                 self._http.receive_data(await self.sock.recv(_READ_BYTES))
-            elif isinstance(event, h11.Response):
-                status = event.status_code
-            elif isinstance(event, h11.Data):
-                body += event.data
-                if len(body) > _MAX_BODY_BYTES:
-                    raise OSError('answer too long')
             elif isinstance(event, h11.EndOfMessage):
-                return Reply(status, bytes(body))
-            elif not isinstance(event, h11.InformationalResponse):
+                return
+            elif isinstance(event, h11.Event):
+                yield event
+            else:
                 raise OSError('connection closed before the answer')
 
     def try_rest(self) -> bool:
--- a/comfreystair/platform/store.py
+++ b/comfreystair/platform/store.py
@@ -14,6 +14,7 @@
 )
 from comfreystair.platform.http import HttpClient, Reply
 
+_REASON_BYTES: Final = 200
 _OK: Final = 200
 _NOT_FOUND: Final = 404
 _CONFLICT: Final = 412
@@ -138,7 +139,7 @@
         if reply.status in _REFUSALS:
             raise PlatformRefusedError(f'status {reply.status}', path)
         if reply.status not in {_OK, _NOT_FOUND, _CONFLICT}:
-            reason = reply.body[:200].decode(errors='replace')
+            reason = reply.body[:_REASON_BYTES].decode(errors='replace')
             raise PlatformError(f'status {reply.status}: {reason}', path)
         return reply
 
--- a/comfreystair/platform/targets.py
+++ b/comfreystair/platform/targets.py
@@ -24,6 +24,7 @@
 
 _STATUS_FIELDS: Final = 7
 _ABORTED: Final = 'E'
+_VERDICTS: Final = frozenset(('COMPLETE', 'ERROR'))
 
 
 class _Ready(NamedTuple):
@@ -112,49 +113,22 @@
         """Close the connection; an open transaction is rolled back."""
         await self._sock.close()
 
-    async def _ask(self, ident: str, text: str, seconds: float) -> Answer:
-        try:
-            async with curio.timeout_after(seconds):
-                await self._sock.sendall(f'QUERY {ident} {text}\r\n'.encode())
-                ready = await self.read_answer()
-        except curio.TaskTimeout as error:
-            raise TargetLostError('no answer in time', 'ask', self._peer) from (
-                error
-            )
-        except (OSError, MalformedError) as error:
-            raise TargetLostError(str(error), 'ask', self._peer) from error
-        if ready.code:
-            return Answer(
-                failure=parse_failure(ready.code),
-                detail=ready.detail,
-                position=ready.position,
-                is_aborted=ready.is_aborted,
-            )
-        return Answer(ready.rows, ready.signature, position=ready.position)
-
     async def read_answer(self) -> _Ready:
-        """Read up to the line that ends an answer."""
+        """Read up to the line that ends an answer.
+
+        :raises MalformedError: when the lines are not those of an answer.
+        """
         rows: list[str] = []
-        signature = code = detail = ''
+        verdict = ''
         while True:
             line = await self._reader.read()
             word, _, rest = line.partition(' ')
-            if word == 'ROW':
+            if word == 'ROW' and not verdict:
                 rows.append(rest)
-            elif word == 'COMPLETE':
-                signature = rest
-            elif word == 'ERROR':
-                code, _, detail = rest.partition(' ')
-            elif word == 'READY' and (signature or code):
-                state, _, position = rest.partition(' ')
-                return _Ready(
-                    tuple(rows),
-                    signature,
-                    code,
-                    detail,
-                    parse_position(position or '-'),
-                    is_aborted=state == _ABORTED,
-                )
+            elif word in _VERDICTS and not verdict:
+                verdict = line
+            elif word == 'READY' and verdict:
+                return _build_ready(tuple(rows), verdict, rest)
             else:
                 raise MalformedError(f'unexpected "{line:.40}"', 'read')
 
@@ -173,6 +147,26 @@
         if word != 'READY':
             raise MalformedError(f'unexpected "{line:.40}"', 'startup')
 
+    async def _ask(self, ident: str, text: str, seconds: float) -> Answer:
+        try:
+            async with curio.timeout_after(seconds):
+                await self._sock.sendall(f'QUERY {ident} {text}\r\n'.encode())
+                ready = await self.read_answer()
+        except curio.TaskTimeout as error:
+            raise TargetLostError('no answer in time', 'ask', self._peer) from (
+                error
+            )
+        except (OSError, MalformedError) as error:
+            raise TargetLostError(str(error), 'ask', self._peer) from error
+        if ready.code:
+            return Answer(
+                failure=parse_failure(ready.code),
+                detail=ready.detail,
+                position=ready.position,
+                is_aborted=ready.is_aborted,
+            )
+        return Answer(ready.rows, ready.signature, position=ready.position)
+
 
 async def open_target(
     dial: Dial, address: str, names: tuple[str, str, str], seconds: float
@@ -207,6 +201,21 @@
     return connection
 
 
+def _build_ready(rows: tuple[str, ...], verdict: str, rest: str) -> _Ready:
+    state, _, position = rest.partition(' ')
+    word, _, told = verdict.partition(' ')
+    is_error = word == 'ERROR'
+    code, _, detail = told.partition(' ') if is_error else ('', '', '')
+    return _Ready(
+        rows,
+        '' if is_error else told,
+        code,
+        detail,
+        parse_position(position or '-'),
+        is_aborted=state == _ABORTED,
+    )
+
+
 def _parse_report(answer: Answer) -> TargetReport | None:
     """Decode a status row.
 
--- a/comfreystair/sessions/execution.py
+++ b/comfreystair/sessions/execution.py
@@ -36,6 +36,7 @@
 # How long a full target is left alone, in seconds.
 _SHED_SECONDS: Final = 0.03
 _MOST_ATTEMPTS: Final = 6
+_LEAST_SECONDS: Final = 0.01
 # Share of a statement's time that it may wait for its turn.
 _WAIT_SHARE: Final = 0.7
 # Priority of statements that hold a transaction open.
@@ -232,13 +233,14 @@
     ) -> Answer:
         prepared = session.prepared.get(statement.name)
         is_write = is_writing(statement, prepared)
-        is_sent = is_whole = False
+        is_sent = False
+        is_whole = False
         try:
             name = await _ready(pooled, session, statement, deadline)
             asked_at = read_clock()
             is_sent = True
             answer = await pooled.connection.forward(
-                statement, place.position, name, max(deadline - asked_at, 0.01)
+                statement, place.position, name, _find_rest(deadline)
             )
             is_whole = True
         except TargetLostError as error:
@@ -273,7 +275,7 @@
             set(),
         )
         answer = fail(Failure.overloaded, _RETRY_ADVICE)
-        for _attempt in range(_MOST_ATTEMPTS):
+        for _ in range(_MOST_ATTEMPTS):
             place = await self._placement.find(need, deadline)
             remaining = deadline - read_clock()
             if place is None or remaining <= 0:
@@ -308,7 +310,7 @@
             answer = await taken.connection.begin(
                 transaction.is_read_only,
                 place.position,
-                max(deadline - read_clock(), 0.01),
+                _find_rest(deadline),
             )
             has_begun = answer.failure is None
         except TargetLostError as error:
@@ -372,7 +374,7 @@
             is_shed = True
             try:
                 answer = await pooled.connection.forward(
-                    statement, None, name, max(deadline - asked_at, 0.01)
+                    statement, None, name, _find_rest(deadline)
                 )
                 is_shed = answer.failure is Failure.overloaded
             finally:
@@ -480,12 +482,17 @@
     return not is_write and answer.failure in _REPEATABLE_READS
 
 
+def _find_rest(deadline: float) -> float:
+    """Return the time that is left, in seconds; a little when there is none."""
+    return max(deadline - read_clock(), _LEAST_SECONDS)
+
+
 async def _enter_urgently(gate: Gate, name: str, deadline: float) -> None:
     """Wait for a turn ahead of requests that hold no connection.
 
     :raises TargetLostError: when there was none in time.
     """
-    patience = max(deadline - read_clock(), 0.01)
+    patience = _find_rest(deadline)
     try:
         await gate.enter(name, _URGENT, patience)
     except PoolError as error:
@@ -510,7 +517,7 @@
 
     :returns: what a prepared statement is called there, empty for others.
     """
-    seconds = max(deadline - read_clock(), 0.01)
+    seconds = _find_rest(deadline)
     await align(pooled, session.values, seconds)
     if statement.kind is not StatementKind.execute:
         return ''
