--- a/comfreystair/coordination/notices.py
+++ b/comfreystair/coordination/notices.py
@@ -9,7 +9,7 @@
 from comfreystair.controllers.leadership import Leadership
 from comfreystair.controllers.succession import is_missed_widely
 from comfreystair.coordination.calls import run_side_by_side
-from comfreystair.coordination.proofs import from_notice, to_notice
+from comfreystair.coordination.proofs import read_notice, build_notice
 from comfreystair.coordination.records import InstanceRecord
 from comfreystair.coordination.state import FleetState, GroupState
 from comfreystair.peers import PeerClients
@@ -50,7 +50,7 @@
 
     async def take_notice(self, notice) -> object:
         """Stop using a primary that is being replaced, and confirm it."""
-        await self.take(notice.group, from_notice(notice))
+        await self.take(notice.group, read_notice(notice))
         return definitions.GroupConfirmation(
             incarnation=self._state.own.incarnation,
             heard_ms=_NEVER_ASKED,
@@ -130,7 +130,7 @@
 
         :returns: the followers of each that confirmed, by its address.
         """
-        notice = to_notice(group, record)
+        notice = build_notice(group, record)
         confirmed: dict[str, list[str]] = {}
 
         async def tell(address: str) -> None:
--- a/comfreystair/coordination/proofs.py
+++ b/comfreystair/coordination/proofs.py
@@ -85,7 +85,7 @@
             plan_age_seconds=self._state.find_plan_age(now),
             groups=[
                 definitions.GroupProof(
-                    record=to_notice(name, group.leadership.record),
+                    record=build_notice(name, group.leadership.record),
                     age_seconds=group.leadership.find_proof_age(now),
                 )
                 for name, group in self._state.groups.items()
@@ -133,7 +133,7 @@
 
     async def _learn(self, proof, asked_at: float) -> None:
         group = self._state.find_group(proof.record.group)
-        record = from_notice(proof.record)
+        record = read_notice(proof.record)
         if group.leadership.learn(record, asked_at - proof.age_seconds):
             self._log.write(
                 'leadership',
@@ -166,7 +166,7 @@
         )
 
 
-def to_notice(group: str, record: Leadership) -> object:
+def build_notice(group: str, record: Leadership) -> object:
     """Return a group's record as it is sent."""
     return definitions.GroupNotice(
         group=group,
@@ -177,7 +177,7 @@
     )
 
 
-def from_notice(notice) -> Leadership:
+def read_notice(notice) -> Leadership:
     """Return a group's record as it was sent."""
     return Leadership(
         notice.primary, notice.term, notice.is_changing, notice.revision
--- a/comfreystair/entry.py
+++ b/comfreystair/entry.py
@@ -52,9 +52,11 @@
 from comfreystair.platform.targets import TargetConnection, open_target
 from comfreystair.pooling.board import TargetBoard
 from comfreystair.pooling.members import TargetEntry
+from comfreystair.sessions.attempts import Attempts
 from comfreystair.sessions.desk import Desk
 from comfreystair.sessions.execution import Executor
 from comfreystair.sessions.placement import Placement
+from comfreystair.sessions.transactions import Transactions
 from comfreystair.signals import wait_for_signal
 
 SETTINGS_VARIABLE: Final = 'COMFREYSTAIR_SETTINGS'
@@ -200,11 +202,13 @@
             self._pulse.hurry,
             lambda: self._pulse.is_reached,
         )
-        executor = Executor(self._state, self._board, placement, self._log)
+        attempts = Attempts(self._state, self._board, self._log)
+        parts = (self._state, placement, attempts, self._log)
         return Desk(
             self._state,
             admission,
-            executor,
+            Executor(*parts),
+            Transactions(*parts),
             self._pulse.hurry,
             self._settings.key_seconds,
             self._counters,
--- a/comfreystair/platform/http.py
+++ b/comfreystair/platform/http.py
@@ -117,6 +117,15 @@
                 raise OSError('answer too long')
         return Reply(status, bytes(body))
 
+    def try_rest(self) -> bool:
+        """Make ready for the next call; tell whether there can be one."""
+        if self._http.our_state is not h11.DONE:
+            return False
+        if self._http.their_state is not h11.DONE:
+            return False
+        self._http.start_next_cycle()
+        return True
+
     async def _read_events(self) -> AsyncIterator[h11.Event]:
         """Yield the events of an answer up to its end."""
         while True:
@@ -129,12 +138,3 @@
                 yield event
             else:
                 raise OSError('connection closed before the answer')
-
-    def try_rest(self) -> bool:
-        """Make ready for the next call; tell whether there can be one."""
-        if self._http.our_state is not h11.DONE:
-            return False
-        if self._http.their_state is not h11.DONE:
-            return False
-        self._http.start_next_cycle()
-        return True
--- a/comfreystair/platform/targets.py
+++ b/comfreystair/platform/targets.py
@@ -24,6 +24,8 @@
 
 _STATUS_FIELDS: Final = 7
 _ABORTED: Final = 'E'
+_ROW: Final = 'ROW '
+_READY: Final = 'READY '
 _VERDICTS: Final = frozenset(('COMPLETE', 'ERROR'))
 
 
@@ -119,18 +121,17 @@
         :raises MalformedError: when the lines are not those of an answer.
         """
         rows: list[str] = []
-        verdict = ''
-        while True:
+        line = await self._reader.read()
+        while line.startswith(_ROW):
+            rows.append(line.removeprefix(_ROW))
             line = await self._reader.read()
-            word, _, rest = line.partition(' ')
-            if word == 'ROW' and not verdict:
-                rows.append(rest)
-            elif word in _VERDICTS and not verdict:
-                verdict = line
-            elif word == 'READY' and verdict:
-                return _build_ready(tuple(rows), verdict, rest)
-            else:
-                raise MalformedError(f'unexpected "{line:.40}"', 'read')
+        end = await self._reader.read()
+        word = line.partition(' ')[0]
+        if word not in _VERDICTS or not end.startswith(_READY):
+            raise MalformedError(
+                f'unexpected "{line:.40}", "{end:.40}"', 'read'
+            )
+        return _build_ready(tuple(rows), line, end.removeprefix(_READY))
 
     async def start(self, service: str, organisation: str, ident: str) -> None:
         """Introduce the caller's organisation.
--- a/comfreystair/sessions/desk.py
+++ b/comfreystair/sessions/desk.py
@@ -8,7 +8,11 @@
 from comfreystair.clocks import read_clock
 from comfreystair.coordination.admission import Admission
 from comfreystair.coordination.state import FleetState
-from comfreystair.manifest.serving import PUBLIC_CLIENT, ServingRoute
+from comfreystair.manifest.serving import (
+    PUBLIC_CLIENT,
+    ServingPlan,
+    ServingRoute,
+)
 from comfreystair.observability.counters import Counters
 from comfreystair.observability.decisions import DecisionLog
 from comfreystair.sessions.execution import Executor
@@ -23,6 +27,7 @@
     StatementKind,
     fail,
 )
+from comfreystair.sessions.transactions import Transactions
 
 # One success in this many is logged.
 _SAMPLE_EVERY: Final = 50
@@ -38,6 +43,7 @@
     (StatementKind.read, StatementKind.write, StatementKind.execute)
 )
 _BEGIN_KINDS: Final = frozenset((StatementKind.begin, StatementKind.begin_read))
+_NO_ROUTE: Final = fail(Failure.unknown_database, 'no route has this name')
 _END_KINDS: Final = frozenset((StatementKind.commit, StatementKind.rollback))
 
 
@@ -49,6 +55,7 @@
         state: FleetState,
         admission: Admission,
         executor: Executor,
+        transactions: Transactions,
         hurry: Callable[[], Awaitable[None]],
         key_seconds: float,
         counters: Counters,
@@ -62,6 +69,7 @@
         self._state = state
         self._admission = admission
         self._executor = executor
+        self._transactions = transactions
         self._hurry = hurry
         self._plan_seconds = key_seconds - _KEY_MARGIN_SECONDS
         self._counters = counters
@@ -109,7 +117,7 @@
         """End a session and roll back what it left open."""
         self._sessions.discard(session)
         if session.transaction is not None:
-            await self._executor.end(session.transaction)
+            await self._transactions.end(session.transaction)
             session.transaction = None
 
     async def handle(self, session: Session, statement: Statement) -> Answer:
@@ -128,33 +136,31 @@
         return answer
 
     async def _run(self, session: Session, statement: Statement) -> Answer:
-        transaction = session.transaction
-        is_ending = statement.kind in _END_KINDS
-        if is_ending and transaction is None:
-            return fail(Failure.malformed, 'no transaction is open')
+        """Run what needs a target, or ends a transaction."""
+        refusal = _check_form(session, statement)
+        if refusal is not None:
+            return refusal
         if statement.kind is StatementKind.rollback:
-            await self._executor.end(transaction)
+            await self._transactions.end(session.transaction)
             return DONE
-        is_execute = statement.kind is StatementKind.execute
-        if is_execute and statement.name not in session.prepared:
-            return fail(Failure.unknown_statement, 'not prepared here')
         refusal = self._check(session)
         if refusal is not None:
             return refusal
         organisation = self._find_organisation(session)
-        if transaction is not None:
-            return await self._executor.run_in_transaction(
-                session, organisation, statement
-            )
+        if session.transaction is None:
+            return await self._run_single(session, organisation, statement)
+        return await self._transactions.run(session, organisation, statement)
+
+    async def _run_single(
+        self, session: Session, organisation: str, statement: Statement
+    ) -> Answer:
         limited = await self._admit(organisation)
         if limited is not None:
             return limited
         route = self._find_route(session)
         if route is None:
-            return fail(Failure.unknown_database, 'no route has this name')
-        return await self._executor.run_single(
-            session, route, organisation, statement
-        )
+            return _NO_ROUTE
+        return await self._executor.run(session, route, organisation, statement)
 
     async def _begin(self, session: Session, statement: Statement) -> Answer:
         """Open a transaction here; its target is chosen later."""
@@ -168,7 +174,7 @@
             return limited
         route = self._find_route(session)
         if route is None:
-            return fail(Failure.unknown_database, 'no route has this name')
+            return _NO_ROUTE
         is_read_only = statement.kind is StatementKind.begin_read
         session.transaction = Transaction(route, is_read_only, read_clock())
         return DONE
@@ -184,11 +190,11 @@
             if answer.failure is None and transaction.pooled is not None:
                 await transaction.pool.give_back(transaction.pooled)
                 transaction.pooled = None
-            await self._executor.end(transaction)
+            await self._transactions.end(transaction)
             session.transaction = None
         elif answer.failure is not None and not transaction.is_failed:
             transaction.is_failed = True
-            await self._executor.end(transaction)
+            await self._transactions.end(transaction)
 
     async def _admit(self, organisation: str) -> Answer | None:
         retry = await self._admission.admit(organisation)
@@ -216,20 +222,23 @@
     def _check(self, session: Session) -> Answer | None:
         """Return why a session may not run statements now."""
         plan = self._state.plan
-        age = self._state.find_plan_age(read_clock())
         if plan is None:
             return fail(Failure.overloaded, 'starting, retry after 500 ms')
-        is_recent = age < _REFUSAL_AGE_SECONDS
+        age = self._state.find_plan_age(read_clock())
         route = plan.routes.get(session.database)
         if route is None and session.transaction is None:
-            if is_recent:
-                return fail(Failure.unknown_database, 'no route has this name')
-            return _refuse_unproved(age)
+            is_recent = age < _REFUSAL_AGE_SECONDS
+            return _NO_ROUTE if is_recent else _refuse_unproved(age)
         if route is not None and route.is_open:
             return None
+        return self._check_key(session.key, plan, age)
+
+    def _check_key(
+        self, key: str, plan: ServingPlan, age: float
+    ) -> Answer | None:
         if age > self._plan_seconds:
             return _refuse_unproved(age)
-        if session.key not in plan.owners:
+        if key not in plan.owners:
             return fail(Failure.unauthenticated, 'the key is not known')
         return None
 
@@ -289,6 +298,16 @@
         )
 
 
+def _check_form(session: Session, statement: Statement) -> Answer | None:
+    """Return why a statement does not fit the session's state."""
+    if statement.kind in _END_KINDS and session.transaction is None:
+        return fail(Failure.malformed, 'no transaction is open')
+    is_execute = statement.kind is StatementKind.execute
+    if is_execute and statement.name not in session.prepared:
+        return fail(Failure.unknown_statement, 'not prepared here')
+    return None
+
+
 def _refuse_unproved(age: float) -> Answer:
     return fail(
         Failure.overloaded,
