--- a/comfreystair/coordination/directory.py
+++ b/comfreystair/coordination/directory.py
@@ -65,10 +65,12 @@
             await curio.sleep(_READ_SECONDS)
 
     async def _read(self) -> None:
+        asked_at = read_clock()
         items = await self._store.list(self._targets_prefix, is_stale_ok=True)
         self._take_targets(self._parse_targets(items), read_clock())
         records = await self._store.list(RECORDS_PREFIX, is_stale_ok=True)
         self._take_records(records, read_clock())
+        self._state.lists_read_at = asked_at
 
     def _take_targets(self, found: dict[str, TargetEntry], now: float) -> None:
         known = self._state.targets
--- a/comfreystair/coordination/leaders.py
+++ b/comfreystair/coordination/leaders.py
@@ -19,6 +19,9 @@
 from comfreystair.observability.decisions import DecisionLog
 
 _CHECK_SECONDS: Final = 0.2
+# Lists of targets and instances may be this old, in seconds: they are read
+# once a second.
+_LISTS_SECONDS: Final = 2.5
 # Each later rank waits this much longer before it starts a change.
 _RANK_SECONDS: Final = 0.12
 _MOST_RANKS: Final = 6
@@ -96,7 +99,7 @@
         """Return why a group's primary should be replaced; empty if not."""
         group = self._state.find_group(name)
         record = group.leadership.record
-        if self._state.is_draining or not self._state.list_targets(name):
+        if not self._may_judge(name):
             return ''
         if record.is_changing:
             return _STALLED
@@ -109,6 +112,18 @@
             return _FIRST
         return await self._find_fault(group, record.primary)
 
+    def _may_judge(self, name: str) -> bool:
+        """Tell whether the lists here are young enough to act on.
+
+        An instance back from a partition must not take a primary that it has
+        not heard of for one that is gone.
+        """
+        age = read_clock() - self._state.lists_read_at
+        is_listed = bool(self._state.list_targets(name))
+        return (
+            is_listed and age < _LISTS_SECONDS and not (self._state.is_draining)
+        )
+
     async def _find_fault(self, group: GroupState, primary: str) -> str:
         """Return what is wrong with a primary; empty for nothing."""
         entry = self._state.targets.get(primary)
--- a/comfreystair/coordination/state.py
+++ b/comfreystair/coordination/state.py
@@ -51,6 +51,7 @@
         self.plan: ServingPlan | None = None
         self.plan_proved_at = float('-inf')
         self.targets: dict[str, TargetEntry] = {}
+        self.lists_read_at = float('-inf')
         self.instances: dict[str, InstanceRecord] = {own.name: own}
         self.recent: dict[str, tuple[InstanceRecord, float]] = {
             own.name: (own, read_clock())
