--- a/standins/demo.py
+++ b/standins/demo.py
@@ -10,6 +10,7 @@
 import click
 
 from standins.cluster import Cluster
+from standins.platform.demo import show_platform
 from standins.reports import build_row, print_table
 from standins.shapes import LIMA, scale_down
 from standins.workload import Workload
@@ -27,7 +28,7 @@
     if serve:
         _serve(pathlib.Path(run_directory))
     else:
-        sys.exit(_demonstrate())
+        sys.exit(max(_demonstrate(), show_platform()))
 
 
 def _serve(directory: pathlib.Path) -> None:
