Rolled back transactions that rest for too long, and learned of primaries in one place

A caller that rests inside a transaction held a connection of a scarce target for as long as it liked. Besides, the two copies of taking in a group's record became one, and an unused method went.

--- a/comfreystair/coordination/proofs.py
+++ b/comfreystair/coordination/proofs.py
@@ -114,7 +114,13 @@
             return False
         self._plans.prove(asked_at - proof.plan_age_seconds)
         for one in proof.groups:
-            await self._learn(one, asked_at)
+            await learn_leadership(
+                self._state,
+                self._log,
+                one.record.group,
+                read_notice(one.record),
+                asked_at - one.age_seconds,
+            )
         return True
 
     async def _catch_up(self, source: InstanceRecord, proof) -> None:
@@ -131,21 +137,6 @@
         item = Item(read.content, read.revision)
         self._plans.take(item, float('-inf'), source.name)
 
-    async def _learn(self, proof, asked_at: float) -> None:
-        group = self._state.find_group(proof.record.group)
-        record = read_notice(proof.record)
-        if group.leadership.learn(record, asked_at - proof.age_seconds):
-            self._log.write(
-                'leadership',
-                group=proof.record.group,
-                primary=record.primary,
-                term=record.term,
-                is_changing=record.is_changing,
-                revision=record.revision,
-                proof_age=proof.age_seconds,
-            )
-        await group.announce()
-
     def _avoid(self, source: InstanceRecord, reason: str) -> None:
         self._avoided[source.incarnation] = read_clock() + _AVOID_SECONDS
         self._log.write('source_avoided', source=source.name, reason=reason)
@@ -166,6 +157,32 @@
         )
 
 
+async def learn_leadership(
+    state: FleetState,
+    log: DecisionLog,
+    name: str,
+    record: Leadership,
+    asked_at: float,
+) -> None:
+    """Take in a group's record.
+
+    :param asked_at: when the read that proves it was sent.
+    """
+    group = state.find_group(name)
+    age = group.leadership.find_proof_age(read_clock())
+    if group.leadership.learn(record, asked_at):
+        log.write(
+            'leadership',
+            group=name,
+            primary=record.primary,
+            term=record.term,
+            is_changing=record.is_changing,
+            revision=record.revision,
+            proof_age=age,
+        )
+    await group.announce()
+
+
 def build_notice(group: str, record: Leadership) -> object:
     """Return a group's record as it is sent."""
     return definitions.GroupNotice(
--- a/comfreystair/coordination/pulse.py
+++ b/comfreystair/coordination/pulse.py
@@ -13,7 +13,7 @@
 from comfreystair.clocks import read_clock
 from comfreystair.coordination.pauses import vary
 from comfreystair.coordination.plans import PlanBook
-from comfreystair.coordination.proofs import ProofExchange
+from comfreystair.coordination.proofs import ProofExchange, learn_leadership
 from comfreystair.coordination.records import (
     GROUPS_PREFIX,
     INSTANCES_PREFIX,
@@ -97,11 +97,6 @@
             if pause == _PULSE_SECONDS:
                 pause = _RETRY_SECONDS
 
-    async def leave(self) -> None:
-        """Take this instance off the list."""
-        if self._lease:
-            await self._store.end_lease(self._lease)
-
     async def _beat(self) -> None:
         """Take a proof over, or read the store, or ask other zones."""
         exchange = self._exchange
@@ -191,22 +186,11 @@
     async def _learn(
         self, group: str, item: Item | None, asked_at: float
     ) -> None:
-        state = self._state.find_group(group)
-        record = state.leadership.record
+        """Take in a group's record, the known one where nothing was read."""
+        record = self._state.find_group(group).leadership.record
         if item is not None:
             record = decode_leadership(item)
-        age = state.leadership.find_proof_age(read_clock())
-        if state.leadership.learn(record, asked_at):
-            self._log.write(
-                'leadership',
-                group=group,
-                primary=record.primary,
-                term=record.term,
-                is_changing=record.is_changing,
-                revision=record.revision,
-                proof_age=age,
-            )
-        await state.announce()
+        await learn_leadership(self._state, self._log, group, record, asked_at)
 
     def _list_groups(self) -> list[str]:
         plan = self._state.plan
--- a/comfreystair/entry.py
+++ b/comfreystair/entry.py
@@ -170,6 +170,7 @@
         await _spawn(self._directory.run, self._update_board)
         await _spawn(self._duty.run)
         await _spawn(self._leaders.run)
+        await _spawn(self._desk.end_idle)
         await _spawn(self._accept, _listen(listen.callers))
         number = signal.SIGHUP
         while number == signal.SIGHUP:
--- a/comfreystair/sessions/desk.py
+++ b/comfreystair/sessions/desk.py
@@ -36,6 +36,8 @@
 # A plan this young may refuse a database or key, in seconds.
 _REFUSAL_AGE_SECONDS: Final = 1.5
 _LOOK_SECONDS: Final = 0.05
+# How often resting transactions are looked at, in seconds.
+_IDLE_CHECK_SECONDS: Final = 0.5
 # Kept of the time in which a withdrawn key must stop, in seconds.
 _KEY_MARGIN_SECONDS: Final = 0.3
 _MILLISECONDS: Final = 1000
@@ -120,6 +122,15 @@
             await self._transactions.end(session.transaction)
             session.transaction = None
 
+    async def end_idle(self) -> None:
+        """Roll back transactions that rest for too long, until cancelled."""
+        while True:
+            await curio.sleep(_IDLE_CHECK_SECONDS)
+            plan = self._state.plan
+            if plan is not None:
+                oldest = read_clock() - plan.idle_seconds
+                await self._end_idle_since(oldest)
+
     async def handle(self, session: Session, statement: Statement) -> Answer:
         """Run one statement."""
         started_at = read_clock()
@@ -135,6 +146,22 @@
         self._note(session, statement, answer, read_clock() - started_at)
         return answer
 
+    async def _end_idle_since(self, oldest: float) -> None:
+        for session in list(self._sessions):
+            transaction = session.transaction
+            is_resting = session.reading is not None
+            if transaction is None or transaction.is_failed or not is_resting:
+                continue
+            if transaction.used_at < oldest:
+                transaction.is_failed = True
+                await self._transactions.end(transaction)
+                self._log.write(
+                    'transaction_idle',
+                    database=session.database,
+                    target=transaction.target,
+                    since=transaction.used_at,
+                )
+
     async def _run(self, session: Session, statement: Statement) -> Answer:
         """Run what needs a target, or ends a transaction."""
         refusal = _check_form(session, statement)
@@ -186,6 +213,7 @@
         transaction = session.transaction
         if transaction is None:
             return
+        transaction.used_at = read_clock()
         if statement.kind in _END_KINDS:
             if answer.failure is None and transaction.pooled is not None:
                 await transaction.pool.give_back(transaction.pooled)
--- a/comfreystair/sessions/session.py
+++ b/comfreystair/sessions/session.py
@@ -17,6 +17,7 @@
         self.route = route
         self.is_read_only = is_read_only
         self.began_at = began_at
+        self.used_at = began_at
         self.is_failed = False
         self.has_written = False
         self.pooled: Pooled | None = None
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -128,6 +128,16 @@
         self.assertEqual(self.deployment.wait_for_end(0, 8), 0)
         self.assertIn('event=stopped', self.deployment.read_log(0))
 
+    def test_resting_transaction_is_rolled_back(self) -> None:
+        """After the plan's bound nothing of it is kept."""
+        caller = self.connect('strict')
+        self.wait_for_write(caller, CHANGE_SECONDS)
+        caller.ask('BEGIN')
+        caller.ask('WRITE a resting')
+        time.sleep(4)
+        self.assertIn('ABORTED', caller.ask('COMMIT')[0])
+        self.assertEqual(caller.ask('READ a')[0], 'ROW first')
+
     def test_rate_holds_over_instances(self) -> None:
         """Both instances together admit no more than rate and burst."""
         self.deployment.command(plan=build_plan([KEY], rate=20, version=2))
