--- a/comfreystair/management/cli.py
+++ b/comfreystair/management/cli.py
@@ -5,6 +5,8 @@
 from comfreystair.management.commands import (
     explain,
     key_new,
+    logs_explain,
+    logs_timeline,
     manifest_check,
     manifest_diff,
     manifest_ship,
@@ -40,6 +42,13 @@
     """Prepare databases for idempotency keys."""
 
 
+@main.group()
+def logs() -> None:
+    """Read what entry instances have logged."""
+
+
+logs.add_command(logs_explain.command)
+logs.add_command(logs_timeline.command)
 manifest.add_command(manifest_check.command)
 manifest.add_command(manifest_diff.command)
 manifest.add_command(manifest_ship.command)
