--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -2,6 +2,8 @@
 
 import ast
 import pathlib
+import subprocess
+import sys
 import unittest
 
 PACKAGE = pathlib.Path(__file__).parent.parent / 'comfreystair'
@@ -63,6 +65,28 @@
                     )
                     self.assertFalse(is_outer, f'{path.name}: {name}')
 
+    def test_neutral_core_knows_no_protocol(self) -> None:
+        """Sessions, pools and coordination import neither edge."""
+        edges = {'platform', 'callers', 'targets', 'wire', 'filters', 'etcd'}
+        for package in ('sessions', 'pooling', 'coordination'):
+            for path in (PACKAGE / package).glob('*.py'):
+                for name in list_imports(path):
+                    top, *rest = name.split('.')
+                    is_edge = top == 'comfreystair' and edges & set(rest[:1])
+                    self.assertFalse(is_edge, f'{path.name}: {name}')
+
+    def test_entry_loads_no_library_of_the_other_edge(self) -> None:
+        """An entry instance starts without PostgreSQL, traces and statsd."""
+        script = 'import sys, comfreystair.entry; print(*sys.modules)'
+        loaded = subprocess.run(
+            [sys.executable, '-c', script],
+            capture_output=True,
+            text=True,
+            check=True,
+        ).stdout.split()
+        unwanted = {'opentelemetry', 'pglast', 'pygwire', 'scramp', 'statsd'}
+        self.assertEqual(unwanted & set(loaded), set())
+
     def test_product_never_imports_stand_ins(self) -> None:
         """Nothing of the product depends on the stand-ins."""
         for path in PACKAGE.rglob('*.py'):
