--- /dev/null
+++ b/tests/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the peers package."""
