Handed statements to the gateways that hold a target's connections

Cause: a target bounds the connections of the whole fleet, each belongs to one organisation, and every instance held its own.

Ruled out: processor time (0.06 of a core at most) and slots (the targets were busy with handshakes, not statements).

Change: for each target one to four instances of its availability zone, by rendezvous hashing, hold its connections, each for its part of the organisations. The others hand them statements and whole transactions over the peer protocol. A gateway that does not answer is left alone and the next in rank takes over; a statement that may have been sent stays in doubt.

--- a/comfreystair/controllers/seats.py
+++ b/comfreystair/controllers/seats.py
@@ -110,12 +110,3 @@
             self._resting.remove(seat)
         self._held += 1
         return SeatDecision(move, seat)
-
-
-def find_limit(connections: int, instances: int, reserve: int) -> int:
-    """Return the connections to one target that an instance may hold.
-
-    :param connections: limit of the target over the whole fleet.
-    :param reserve: connections kept for status questions and leftovers.
-    """
-    return max((connections - reserve) // max(instances, 1), 1)
--- a/comfreystair/controllers/selection.py
+++ b/comfreystair/controllers/selection.py
@@ -25,8 +25,6 @@
 _LAG_MARGIN_SECONDS: Final = 0.02
 # An estimate of a replica's lag halves in this time, in seconds.
 _LAG_HALF_LIFE_SECONDS: Final = 1.5
-# What a new connection costs the request and the target's slots, in seconds.
-_OPEN_SECONDS: Final = 0.016
 
 
 class Floor(NamedTuple):
@@ -115,14 +113,12 @@
     """A target that could run a read.
 
     :param load: requests of this instance there, for each of its slots.
-    :param is_open: a connection for the organisation rests there.
     """
 
     ident: str
     is_near: bool
     is_primary: bool
     load: float
-    is_open: bool
     health: TargetHealth
 
 
@@ -148,5 +144,4 @@
 def _score(one: Candidate, now: float) -> float:
     wait = one.health.find_latency(now) * (1 + one.load)
     distance = 0 if one.is_near else _FAR_SECONDS
-    opening = 0 if one.is_open else _OPEN_SECONDS
-    return wait + distance + opening + (_PRIMARY_SECONDS * one.is_primary)
+    return wait + distance + (_PRIMARY_SECONDS * one.is_primary)
--- a/comfreystair/entry.py
+++ b/comfreystair/entry.py
@@ -33,6 +33,7 @@
 from comfreystair.coordination.state import FleetState
 from comfreystair.dialing import build_dialer
 from comfreystair.exceptions import ComfreystairError
+from comfreystair.gateways import GatewayBook, GatewayService, Relay
 from comfreystair.observability.counters import Counters
 from comfreystair.observability.decisions import DecisionLog
 from comfreystair.observability.pages import serve_pages
@@ -52,6 +53,7 @@
 from comfreystair.platform.targets import TargetConnection, open_target
 from comfreystair.pooling.board import TargetBoard
 from comfreystair.pooling.members import TargetEntry
+from comfreystair.pooling.work import LocalWork
 from comfreystair.sessions.attempts import Attempts
 from comfreystair.sessions.desk import Desk
 from comfreystair.sessions.execution import Executor
@@ -76,6 +78,9 @@
 # Kept of a shutdown's time for giving duties back, in seconds.
 _LEAVE_SECONDS: Final = 0.8
 _STEP_SECONDS: Final = 0.1
+# A transaction of another instance's caller is rolled back this long after
+# that instance should have done so, in seconds.
+_LEFT_SECONDS: Final = 1.0
 # The organisation that questions about a target's status are asked for.
 _PROBE_NAME: Final = 'comfreystair'
 _OK: Final = 200
@@ -150,6 +155,8 @@
             self._log,
         )
         self._board = TargetBoard(instance.zone, self._open)
+        self._book = GatewayBook(self._state, self._peers)
+        self._local = LocalWork(self._board, own.incarnation, self._log)
         self._counters = Counters()
         self._desk = self._build_desk()
 
@@ -203,13 +210,16 @@
             self._pulse.hurry,
             lambda: self._pulse.is_reached,
         )
-        attempts = Attempts(self._state, self._board, self._log)
-        parts = (self._state, placement, attempts, self._log)
+        relay = Relay(
+            self._state.own, self._book, self._local, self._peers, self._log
+        )
+        attempts = Attempts(self._state, self._board, relay, self._log)
+        parts = (self._state, placement, attempts)
         return Desk(
             self._state,
             admission,
-            Executor(*parts),
-            Transactions(*parts),
+            Executor(*parts, self._log),
+            Transactions(*parts, relay),
             self._pulse.hurry,
             self._settings.key_seconds,
             self._counters,
@@ -217,7 +227,9 @@
         )
 
     def _build_methods(self) -> dict[str, Method]:
+        service = GatewayService(self._state, self._local)
         return {
+            **service.list_methods(),
             'grant': Method(definitions.GrantRequest, self._keeper.grant),
             'group': Method(definitions.GroupNotice, self._notices.take_notice),
             'heard': Method(definitions.GroupInquiry, self._notices.tell_heard),
@@ -244,12 +256,15 @@
         return await self._open(entry, _PROBE_NAME, seconds)
 
     async def _update_board(self) -> None:
-        plan = self._state.plan
         await self._board.update(
             self._state.targets.values(),
-            plan.connections if plan else {},
-            len(self._state.recent),
+            self._book.find_limit,
+            self._book.is_gateway,
         )
+        plan = self._state.plan
+        if plan is not None:
+            rest = plan.idle_seconds + _LEFT_SECONDS
+            await self._local.end_idle(read_clock() - rest)
 
     async def _accept(self, sock: socket.socket) -> None:
         async with sock:
@@ -283,7 +298,8 @@
         while read_clock() < give_up_at:
             passed = read_clock() - began_at
             await self._close_some(passed / _CLOSE_SECONDS)
-            if passed > _ROTATION_SECONDS and not self._desk.sessions:
+            is_empty = not (self._desk.sessions or self._local.open_count)
+            if passed > _ROTATION_SECONDS and is_empty:
                 break
             await curio.sleep(_STEP_SECONDS)
         self._log.write(
--- a/comfreystair/peers/client.py
+++ b/comfreystair/peers/client.py
@@ -3,15 +3,23 @@
 import contextlib
 import itertools
 import time
+from typing import Final
 
 import curio
 from curio import socket
 
 from comfreystair.dialing import Dial
 from comfreystair.peers import messages
-from comfreystair.peers.exceptions import PeerError, PeerRefusedError
+from comfreystair.peers.exceptions import (
+    PeerError,
+    PeerRefusedError,
+    PeerUnreachedError,
+)
 from comfreystair.peers.messages import definitions
 
+# Bound on connecting, in seconds: a way across the fleet takes milliseconds.
+_CONNECT_SECONDS: Final = 0.25
+
 
 class PeerClients:
     """Connections to other daemons by address, opened when first used."""
@@ -26,6 +34,7 @@
         self._seconds = seconds
         self._secret = secret
         self._channels: dict[str, _Channel] = {}
+        self._dialing: dict[str, curio.Lock] = {}
         self._sent_bytes = 0
         self._sent_calls = 0
 
@@ -50,25 +59,30 @@
         """Call a method and decode its answer.
 
         :param seconds: bound on this call, 0 for the usual one.
-        :raises PeerRefusedError: nobody listens at the address.
+        :raises PeerUnreachedError: nothing was sent.
         :raises PeerError: there was no answer, or it was an error.
         """
+        channel: _Channel | None = None
+        bound = seconds or self._seconds
         try:
-            async with curio.timeout_after(seconds or self._seconds):
+            async with curio.timeout_after(min(bound, _CONNECT_SECONDS)):
                 channel = await self._find_channel(address)
+            async with curio.timeout_after(bound):
                 wire = messages.encode(body)
                 self._sent_bytes += len(wire)
                 self._sent_calls += 1
                 answer = await channel.call(method, wire, self._secret)
-        except curio.TaskTimeout as error:
-            await self._drop_silent(address)
-            raise PeerError('no answer in time', method, address) from error
-        except ConnectionRefusedError as error:
-            raise PeerRefusedError('refused', method, address) from error
-        except OSError as error:
-            raise PeerError(str(error), method, address) from error
+        except (OSError, curio.TaskTimeout) as error:
+            raise await self._explain(error, channel, method, address) from (
+                error
+            )
         return messages.decode(kind, answer)
 
+    def is_stalled(self, address: str, seconds: float) -> bool:
+        """Tell whether calls are waiting and none was answered for a while."""
+        channel = self._channels.get(address)
+        return channel is not None and channel.is_stalled(seconds)
+
     async def close(self) -> None:
         """Close all connections."""
         for channel in self._channels.values():
@@ -82,11 +96,33 @@
             self._channels.pop(address)
             await channel.close()
 
+    async def _explain(
+        self,
+        error: BaseException,
+        channel: '_Channel | None',
+        method: str,
+        address: str,
+    ) -> PeerError:
+        """Return what to raise for a call that failed."""
+        if isinstance(error, ConnectionRefusedError):
+            return PeerRefusedError('refused', method, address)
+        if channel is None:
+            return PeerUnreachedError('no connection', method, address)
+        if isinstance(error, curio.TaskTimeout):
+            await self._drop_silent(address)
+            return PeerError('no answer in time', method, address)
+        return PeerError(str(error), method, address)
+
     async def _find_channel(self, address: str) -> '_Channel':
         channel = self._channels.get(address)
-        if channel is None or channel.is_closed:
-            channel = await _open_channel(self._dial, address)
-            self._channels[address] = channel
+        if channel is not None and not channel.is_closed:
+            return channel
+        lock = self._dialing.setdefault(address, curio.Lock())
+        async with lock:
+            channel = self._channels.get(address)
+            if channel is None or channel.is_closed:
+                channel = await _open_channel(self._dial, address)
+                self._channels[address] = channel
         return channel
 
 
@@ -106,6 +142,13 @@
         """Tell whether nothing was received for some seconds."""
         return time.monotonic() - self._heard_at >= seconds
 
+    def is_stalled(self, seconds: float) -> bool:
+        """Tell whether a call waits that long and nothing was received."""
+        since = time.monotonic() - seconds
+        oldest = next(iter(self._pending.values()), None)
+        is_waiting = oldest is not None and oldest.sent_at < since
+        return is_waiting and self._heard_at < since
+
     @property
     def is_closed(self) -> bool:
         """Tell whether the connection is gone."""
@@ -188,6 +231,7 @@
     def __init__(self) -> None:
         self.event = curio.Event()
         self.reply = None
+        self.sent_at = time.monotonic()
 
     async def finish(self, reply) -> None:
         """Set the reply, absent when the connection was lost."""
--- a/comfreystair/peers/comfreystair.thrift
+++ b/comfreystair/peers/comfreystair.thrift
@@ -162,3 +162,71 @@
     1: string incarnation,
     2: bool is_keeper
 }
+
+struct PreparedStatement {
+    1: string shape,
+    2: bool is_writing
+}
+
+struct LogPosition {
+    1: i64 term,
+    2: i64 offset
+}
+
+// A caller's statement for a target whose connections the receiver has. The
+// kind is the name of a StatementKind; times are in seconds.
+struct WorkRequest {
+    1: string target,
+    2: string handle,
+    3: string organisation,
+    4: string ident,
+    5: string kind,
+    6: string text,
+    7: string argument,
+    8: map<string, string> session_values,
+    9: PreparedStatement prepared,
+    10: LogPosition floor,
+    11: i32 priority,
+    12: double patience,
+    13: double seconds
+}
+
+// Failure and trouble are names of a Failure and a Trouble, empty for none.
+struct WorkOutcome {
+    1: list<string> rows,
+    2: string signature,
+    3: string failure,
+    4: string detail,
+    5: LogPosition position,
+    6: bool is_aborted,
+    7: string trouble,
+    8: bool is_sent,
+    9: string reason,
+    10: string handle
+}
+
+struct WorkEnd {
+    1: string handle
+}
+
+struct ListsRequest {
+    1: string incarnation,
+    2: i64 version
+}
+
+struct ListedItem {
+    1: string key,
+    2: i64 revision,
+    3: binary content
+}
+
+// What changed in the sender's lists since the version asked for; all of it
+// where is_whole. The age counts from when the sender asked the store.
+struct Lists {
+    1: string incarnation,
+    2: i64 version,
+    3: double age_seconds,
+    4: bool is_whole,
+    5: list<ListedItem> changed,
+    6: list<string> gone
+}
--- a/comfreystair/peers/exceptions.py
+++ b/comfreystair/peers/exceptions.py
@@ -7,5 +7,9 @@
     """Another daemon did not answer, or answered with an error."""
 
 
-class PeerRefusedError(PeerError):
+class PeerUnreachedError(PeerError):
+    """No connection could be made, so nothing was sent."""
+
+
+class PeerRefusedError(PeerUnreachedError):
     """The host refused the connection, so no process listens there."""
--- a/comfreystair/pooling/board.py
+++ b/comfreystair/pooling/board.py
@@ -1,15 +1,14 @@
 """All targets with their connections and how they answered lately."""
 
-from collections.abc import Iterable
+import collections
+from collections.abc import Callable, Iterable
 
-from comfreystair.controllers.seats import find_limit
 from comfreystair.controllers.selection import Candidate, TargetHealth
 from comfreystair.pooling.members import TargetEntry
 from comfreystair.pooling.pool import OpenConnection, TargetPool
 
-# Connections of each target that are kept for questions about its status and
-# for those of instances that are gone.
-RESERVE_CONNECTIONS = 4
+# Bound on a target's connections by what this instance is to it.
+FindLimit = Callable[[TargetEntry], int]
 
 
 class TargetBoard:
@@ -24,28 +23,42 @@
         self._open = open_connection
         self._pools: dict[str, TargetPool] = {}
         self._health: dict[str, TargetHealth] = {}
+        self._loads: collections.Counter[str] = collections.Counter()
 
     async def update(
         self,
         entries: Iterable[TargetEntry],
-        connections: dict[str, int],
-        instances: int,
+        find_limit: FindLimit,
+        is_gateway: Callable[[TargetEntry], bool],
     ) -> None:
-        """Take over the targets there are and the limits of their groups."""
+        """Take over the targets there are and who holds connections to them.
+
+        Connections that rest where this instance is no gateway are closed:
+        they count against the limit that the gateways need.
+        """
         wanted = {one.ident: one for one in entries}
         for ident, pool in list(self._pools.items()):
             if not _is_same(pool.entry, wanted.get(ident)):
                 await self._pools.pop(ident).close()
                 self._health.pop(ident)
         for ident, entry in wanted.items():
-            total = connections.get(entry.group, 0)
-            limit = find_limit(total, instances, RESERVE_CONNECTIONS)
+            limit = find_limit(entry)
             pool = self._pools.get(ident)
             if pool is None:
                 self._pools[ident] = TargetPool(entry, limit, self._open)
                 self._health[ident] = TargetHealth()
             else:
                 await pool.set_limit(limit)
+                if not is_gateway(entry):
+                    await pool.close_resting()
+
+    def count_start(self, ident: str) -> None:
+        """Count work of this instance's callers that a target has."""
+        self._loads[ident] += 1
+
+    def count_end(self, ident: str) -> None:
+        """Count work as over."""
+        self._loads[ident] -= 1
 
     def find_pool(self, ident: str) -> TargetPool | None:
         """Return a target's pool."""
@@ -59,21 +72,18 @@
         self,
         entries: Iterable[TargetEntry],
         primary: str,
-        organisation: str,
     ) -> list[Candidate]:
         """Return the targets that take new work."""
         found: list[Candidate] = []
         for entry in entries:
-            pool = self._pools.get(entry.ident)
-            if pool is None or entry.is_leaving:
+            if entry.ident not in self._pools or entry.is_leaving:
                 continue
             found.append(
                 Candidate(
                     entry.ident,
                     entry.zone == self._zone,
                     entry.ident == primary,
-                    pool.gate.load / entry.slots,
-                    pool.has_resting(organisation),
+                    self._loads[entry.ident] / entry.slots,
                     self._health[entry.ident],
                 )
             )
--- a/comfreystair/sessions/attempts.py
+++ b/comfreystair/sessions/attempts.py
@@ -6,23 +6,15 @@
 
 from comfreystair.clocks import read_clock
 from comfreystair.coordination.state import FleetState, GroupState
-from comfreystair.exceptions import ComfreystairError
-from comfreystair.manifest.serving import ServingRoute
+from comfreystair.gateways import Pinned, Relay
 from comfreystair.observability.decisions import DecisionLog
 from comfreystair.pooling.board import TargetBoard
-from comfreystair.pooling.exceptions import (
-    PoolError,
-    TargetLostError,
-    TargetRefusedError,
-)
-from comfreystair.pooling.pool import Pooled, align, find_name
+from comfreystair.pooling.work import Outcome, Trouble, Work
 from comfreystair.sessions.placement import Need, Place
 from comfreystair.sessions.session import Session
 from comfreystair.sessions.statements import (
     Answer,
     Failure,
-    Prepared,
-    Statement,
     StatementKind,
     fail,
 )
@@ -33,7 +25,6 @@
 RETRY_SECONDS: Final = 0.02
 MOST_ATTEMPTS: Final = 6
 NOT_SERVED: Final = fail(Failure.overloaded, 'not run, retry after 300 ms')
-_LEAST_SECONDS: Final = 0.01
 # How long a full target is left alone, in seconds.
 _SHED_SECONDS: Final = 0.03
 # The same for a target that says it is no primary, in seconds.
@@ -44,53 +35,82 @@
 
 
 class Attempts:
-    """Connections for attempts, and what their outcomes change."""
+    """Work at targets, and what its outcomes change."""
 
     def __init__(
-        self, state: FleetState, board: TargetBoard, log: DecisionLog
+        self,
+        state: FleetState,
+        board: TargetBoard,
+        relay: Relay,
+        log: DecisionLog,
     ) -> None:
         """Take the parts."""
         self._state = state
+        self._relay = relay
         self._board = board
         self._log = log
 
-    async def take(
-        self,
-        place: Place,
-        organisation: str,
-        route: ServingRoute,
-        seconds: float,
-    ) -> Pooled | Answer:
-        ident = place.pool.entry.ident
+    async def run(self, session: Session, place: Place, work: Work) -> Answer:
+        """Run a single statement at a place and learn from what happens."""
+        ident = place.entry.ident
+        asked_at = read_clock()
+        self._board.count_start(ident)
         try:
-            return await place.pool.take(organisation, route.priority, seconds)
-        except PoolError as error:
-            return self.refuse_full(place, error)
-        except TargetRefusedError as error:
-            self._log.write('target_refused', target=ident, why=error)
-            if error.failure is Failure.wrong_target:
-                await self.note_lost(place, error)
-                return NOT_SERVED
-            self._board.find_health(ident).shed(_SHED_SECONDS, read_clock())
-            return NOT_SERVED
-        except TargetLostError as error:
-            await self.note_lost(place, error)
-            return NOT_SERVED
+            outcome = await self._relay.run(place.entry, work)
+        finally:
+            self._board.count_end(ident)
+        is_write = is_writing(work)
+        lost = Failure.in_doubt if is_write else Failure.timed_out
+        answer = self.read(place, outcome, asked_at, lost)
+        if is_write and answer.failure is None:
+            group = self._state.find_group(place.entry.group)
+            answer = await self.acknowledge(group, place, answer)
+            session.raise_floor(answer.position, read_clock())
+        return answer
 
-    def refuse_full(self, place: Place, error: PoolError) -> Answer:
-        self._log.write(
-            'target_full',
-            target=place.pool.entry.ident,
-            why=error,
-            load=place.pool.gate.load,
+    async def begin(
+        self, place: Place, work: Work, is_read_only: bool
+    ) -> tuple[Answer, Pinned]:
+        """Open a transaction at a place."""
+        asked_at = read_clock()
+        outcome, pinned = await self._relay.begin(
+            place.entry, work, is_read_only
         )
-        return NOT_SERVED._replace(failure=Failure.connection_limit)
+        # A transaction whose begin was lost keeps nothing.
+        unsent = outcome._replace(is_sent=False)
+        return self.read(place, unsent, asked_at, Failure.aborted), pinned
+
+    def read(
+        self, place: Place, outcome: Outcome, asked_at: float, lost: Failure
+    ) -> Answer:
+        """Return the answer that an outcome gives, and learn from it.
+
+        :param lost: what a missing answer to a sent statement means.
+        """
+        trouble = outcome.trouble
+        ident = place.entry.ident
+        if trouble is Trouble.none:
+            self._note_answer(place, outcome.answer, asked_at)
+            return outcome.answer
+        if trouble is Trouble.full:
+            self._log.write('target_full', target=ident, why=outcome.reason)
+            return NOT_SERVED._replace(failure=Failure.connection_limit)
+        if trouble is Trouble.refused:
+            self._log.write('target_refused', target=ident, why=outcome.reason)
+            self._board.find_health(ident).shed(_SHED_SECONDS, read_clock())
+        elif trouble is Trouble.lost:
+            self.note_lost(place, outcome.reason)
+        elif place.is_primary:
+            self._state.find_group(place.entry.group).miss(read_clock())
+        if outcome.is_sent:
+            return fail(lost, f'{ident} gave no answer')
+        return NOT_SERVED
 
     async def acknowledge(
         self, group: GroupState, place: Place, answer: Answer
     ) -> Answer:
         """Hand on a write's success only if its target surely led then."""
-        ident = place.pool.entry.ident
+        ident = place.entry.ident
         give_up_at = read_clock() + _PROOF_WAIT_SECONDS
         while not group.leadership.may_acknowledge(ident, read_clock()):
             record = group.leadership.record
@@ -107,11 +127,27 @@
             await group.wait(RETRY_SECONDS)
         return answer
 
-    def note_answer(
+    def note_lost(self, place: Place, reason: str) -> None:
+        """Take in that a target did not answer."""
+        now = read_clock()
+        entry = place.entry
+        health = self._board.find_health(entry.ident)
+        health.fail(now)
+        self._log.write(
+            'target_lost',
+            target=entry.ident,
+            why=reason,
+            failures=health.failures,
+        )
+        group = self._state.find_group(entry.group)
+        if entry.ident == group.leadership.record.primary:
+            group.miss(now)
+
+    def _note_answer(
         self, place: Place, answer: Answer, asked_at: float
     ) -> None:
         now = read_clock()
-        entry = place.pool.entry
+        entry = place.entry
         health = self._board.find_health(entry.ident)
         group = self._state.find_group(entry.group)
         if answer.failure is Failure.overloaded:
@@ -132,57 +168,20 @@
         if answer.position and leadership.may_acknowledge(entry.ident, now):
             leadership.add_sample(asked_at, answer.position)
 
-    async def note_lost(self, place: Place, error: ComfreystairError) -> None:
-        now = read_clock()
-        entry = place.pool.entry
-        health = self._board.find_health(entry.ident)
-        health.fail(now)
-        self._log.write(
-            'target_lost',
-            target=entry.ident,
-            step=error.step,
-            why=error,
-            failures=health.failures,
-        )
-        group = self._state.find_group(entry.group)
-        if entry.ident == group.leadership.record.primary:
-            group.miss(now)
-        await place.pool.close_resting()
 
-
-def is_writing(statement: Statement, prepared: Prepared | None) -> bool:
+def is_writing(work: Work) -> bool:
     """Tell whether a statement may change something."""
-    if statement.kind is StatementKind.execute:
-        return prepared is not None and prepared.is_writing
-    return statement.kind is StatementKind.write
-
-
-def find_rest(deadline: float) -> float:
-    """Return the time that is left, in seconds; a little when there is none."""
-    return max(deadline - read_clock(), _LEAST_SECONDS)
+    if work.prepared is not None:
+        return work.prepared.is_writing
+    return work.statement.kind is StatementKind.write
 
 
 async def prepare_retry(need: Need, place: Place, answer: Answer) -> bool:
     """Keep off a place that failed; tell whether another may do."""
     if not place.is_primary:
-        need.tried.add(place.pool.entry.ident)
+        need.tried.add(place.entry.ident)
         return True
     if answer.failure is Failure.connection_limit:
         return False
     await curio.sleep(RETRY_SECONDS)
     return True
-
-
-async def make_ready(
-    pooled: Pooled, session: Session, statement: Statement, deadline: float
-) -> str:
-    """Bring a connection to the session's state.
-
-    :returns: what a prepared statement is called there, empty for others.
-    """
-    seconds = find_rest(deadline)
-    await align(pooled, session.values, seconds)
-    if statement.kind is not StatementKind.execute:
-        return ''
-    prepared = session.prepared[statement.name]
-    return await find_name(pooled, prepared, seconds)
--- a/comfreystair/sessions/desk.py
+++ b/comfreystair/sessions/desk.py
@@ -215,9 +215,10 @@
             return
         transaction.used_at = read_clock()
         if statement.kind in _END_KINDS:
-            if answer.failure is None and transaction.pooled is not None:
-                await transaction.pool.give_back(transaction.pooled)
-                transaction.pooled = None
+            is_committed = statement.kind is StatementKind.commit
+            if is_committed and answer.failure is None:
+                # The connection went back with the answer.
+                transaction.pinned = None
             await self._transactions.end(transaction)
             session.transaction = None
         elif answer.failure is not None and not transaction.is_failed:
--- a/comfreystair/sessions/placement.py
+++ b/comfreystair/sessions/placement.py
@@ -10,7 +10,7 @@
 from comfreystair.coordination.state import FleetState, GroupState
 from comfreystair.manifest.serving import Consistency, ServingRoute
 from comfreystair.pooling.board import TargetBoard
-from comfreystair.pooling.pool import TargetPool
+from comfreystair.pooling.members import TargetEntry
 
 # How long to wait before looking again, in seconds.
 _LOOK_SECONDS: Final = 0.03
@@ -26,7 +26,7 @@
     :param is_primary: the target is used as the primary.
     """
 
-    pool: TargetPool
+    entry: TargetEntry
     floor: Floor | None
     is_primary: bool
 
@@ -110,21 +110,21 @@
             if one.ident not in need.tried
         ]
         ident = choose_target(
-            self._board.list_candidates(entries, primary, need.organisation),
+            self._board.list_candidates(entries, primary),
             floor,
             now,
             random.random,
         )
-        pool = self._board.find_pool(ident)
-        if pool is None:
+        entry = self._state.targets.get(ident)
+        if entry is None:
             return None
         is_primary = ident == primary
-        return Place(pool, None if is_primary else floor, is_primary)
+        return Place(entry, None if is_primary else floor, is_primary)
 
     def _use_primary(
         self, primary: str, need: Need, now: float
     ) -> Place | None:
-        pool = self._board.find_pool(primary)
-        if pool is None or self._board.find_health(primary).is_paused(now):
+        entry = self._state.targets.get(primary)
+        if entry is None or self._board.find_health(primary).is_paused(now):
             return None
-        return Place(pool, None, is_primary=True)
+        return Place(entry, None, is_primary=True)
--- a/comfreystair/sessions/session.py
+++ b/comfreystair/sessions/session.py
@@ -3,7 +3,7 @@
 from comfreystair.controllers.positions import Position
 from comfreystair.controllers.selection import Floor
 from comfreystair.manifest.serving import ServingRoute
-from comfreystair.pooling.pool import Pooled, TargetPool
+from comfreystair.gateways import Pinned
 from comfreystair.sessions.statements import Phase, Prepared
 
 
@@ -20,13 +20,12 @@
         self.used_at = began_at
         self.is_failed = False
         self.has_written = False
-        self.pooled: Pooled | None = None
-        self.pool: TargetPool | None = None
+        self.pinned: Pinned | None = None
 
     @property
     def target(self) -> str:
         """Return the target it runs at, empty before it has one."""
-        return self.pool.entry.ident if self.pool else ''
+        return self.pinned.entry.ident if self.pinned else ''
 
 
 class Session:
--- a/comfreystair/sessions/transactions.py
+++ b/comfreystair/sessions/transactions.py
@@ -2,26 +2,20 @@
 
 from typing import Final
 
-import curio
-
 from comfreystair.clocks import read_clock
 from comfreystair.coordination.state import FleetState
+from comfreystair.gateways import Relay
 from comfreystair.manifest.serving import Consistency
-from comfreystair.observability.decisions import DecisionLog
-from comfreystair.pooling.exceptions import PoolError, TargetLostError
-from comfreystair.pooling.gates import Gate
-from comfreystair.pooling.pool import align
+from comfreystair.pooling.work import Outcome, Trouble, Work
 from comfreystair.sessions.attempts import (
     MOST_ATTEMPTS,
     NOT_SERVED,
-    RETRY_SECONDS,
     RETURN_SECONDS,
     Attempts,
-    find_rest,
     is_writing,
-    make_ready,
     prepare_retry,
 )
+from comfreystair.sessions.execution import build_work
 from comfreystair.sessions.placement import Need, Place, Placement
 from comfreystair.sessions.session import Session, Transaction
 from comfreystair.sessions.statements import (
@@ -32,10 +26,7 @@
     fail,
 )
 
-# Priority of statements that hold a transaction open.
-_URGENT: Final = -1
-# Bound on a rollback, in seconds; a connection without its answer is closed.
-_ROLLBACK_SECONDS: Final = 0.3
+_LEAST_SECONDS: Final = 0.01
 
 
 class Transactions:
@@ -46,13 +37,13 @@
         state: FleetState,
         placement: Placement,
         attempts: Attempts,
-        log: DecisionLog,
+        relay: Relay,
     ) -> None:
         """Take the parts."""
         self._state = state
         self._placement = placement
         self._attempts = attempts
-        self._log = log
+        self._relay = relay
 
     async def run(
         self, session: Session, organisation: str, statement: Statement
@@ -61,36 +52,29 @@
         transaction = session.transaction
         route = transaction.route
         deadline = read_clock() + route.statement_seconds - RETURN_SECONDS
-        if transaction.pooled is None:
-            answer = await self._begin(session, organisation, deadline)
+        work = build_work(session, route, organisation, statement)
+        if transaction.pinned is None:
+            answer = await self._begin(session, work, deadline)
             if answer.failure is not None:
                 return answer
         if statement.kind is StatementKind.commit and transaction.has_written:
-            return await self._commit(session, statement, deadline)
+            return await self._commit(session, work, deadline)
         answer = await self._run_pinned(
-            session, statement, deadline, Failure.aborted
+            transaction, work, deadline, Failure.aborted
         )
-        prepared = session.prepared.get(statement.name)
-        if is_writing(statement, prepared):
+        if is_writing(work):
             transaction.has_written = True
         return answer
 
     async def end(self, transaction: Transaction) -> None:
         """Roll back at the target, if the transaction has one."""
-        pooled, pool = transaction.pooled, transaction.pool
-        transaction.pooled = None
-        if pooled is None or pool is None:
-            return
-        try:
-            await pooled.connection.rollback(_ROLLBACK_SECONDS)
-        except TargetLostError as error:
-            self._log.write('rollback_lost', target=pool.entry.ident, why=error)
-            await pool.discard(pooled)
-        else:
-            await pool.give_back(pooled)
+        pinned = transaction.pinned
+        transaction.pinned = None
+        if pinned is not None:
+            await self._relay.end(pinned)
 
     async def _begin(
-        self, session: Session, organisation: str, deadline: float
+        self, session: Session, work: Work, deadline: float
     ) -> Answer:
         transaction = session.transaction
         route = transaction.route
@@ -100,7 +84,7 @@
         )
         need = Need(
             route,
-            organisation,
+            work.organisation,
             needs_primary,
             transaction.began_at,
             session.floor,
@@ -113,7 +97,7 @@
             if place is None or remaining <= 0:
                 break
             answer = await self._begin_at(
-                session, organisation, place, remaining
+                transaction, place, work._replace(seconds=remaining)
             )
             if answer.failure is None:
                 break
@@ -122,54 +106,36 @@
         return answer
 
     async def _begin_at(
-        self,
-        session: Session,
-        organisation: str,
-        place: Place,
-        seconds: float,
+        self, transaction: Transaction, place: Place, work: Work
     ) -> Answer:
-        transaction = session.transaction
-        deadline = read_clock() + seconds
-        taken = await self._attempts.take(
-            place, organisation, transaction.route, seconds
+        is_read_only = transaction.is_read_only
+        kind = StatementKind.begin_read if is_read_only else StatementKind.begin
+        opening = work._replace(
+            statement=Statement('', kind, ''),
+            prepared=None,
+            floor=place.position,
         )
-        if isinstance(taken, Answer):
-            return taken
-        has_begun = False
-        asked_at = read_clock()
-        try:
-            await align(taken, session.values, seconds)
-            answer = await taken.connection.begin(
-                transaction.is_read_only,
-                place.position,
-                find_rest(deadline),
-            )
-            has_begun = answer.failure is None
-        except TargetLostError as error:
-            await self._attempts.note_lost(place, error)
-            return NOT_SERVED
-        finally:
-            if has_begun:
-                transaction.pooled = taken
-                transaction.pool = place.pool
-            else:
-                await place.pool.discard(taken)
-        self._attempts.note_answer(place, answer, asked_at)
+        answer, pinned = await self._attempts.begin(
+            place, opening, is_read_only
+        )
+        if answer.failure is None:
+            transaction.pinned = pinned
         return answer
 
     async def _commit(
-        self, session: Session, statement: Statement, deadline: float
+        self, session: Session, work: Work, deadline: float
     ) -> Answer:
         """Commit writes; they succeed only at what was surely the primary."""
-        entry = session.transaction.pool.entry
+        transaction = session.transaction
+        entry = transaction.pinned.entry
         group = self._state.find_group(entry.group)
         if not group.leadership.may_acknowledge(entry.ident, read_clock()):
             return fail(Failure.aborted, 'the primary was replaced')
-        place = Place(session.transaction.pool, None, is_primary=True)
+        place = Place(entry, None, is_primary=True)
         group.writes += 1
         try:
             answer = await self._run_pinned(
-                session, statement, deadline, Failure.in_doubt
+                transaction, work, deadline, Failure.in_doubt
             )
             if answer.failure is None:
                 answer = await self._attempts.acknowledge(group, place, answer)
@@ -180,65 +146,33 @@
 
     async def _run_pinned(
         self,
-        session: Session,
-        statement: Statement,
+        transaction: Transaction,
+        work: Work,
         deadline: float,
         lost: Failure,
     ) -> Answer:
         """Run a statement where the transaction is.
 
-        :param lost: what a missing answer means; the connection is closed.
+        :param lost: what a missing answer means; the transaction is over.
         """
-        transaction = session.transaction
-        pool = transaction.pool
-        pooled = transaction.pooled
-        is_whole = False
-        try:
-            answer = await self._send_pinned(session, statement, deadline)
-            is_whole = True
-        except TargetLostError as error:
-            is_primary = not transaction.is_read_only
-            await self._attempts.note_lost(Place(pool, None, is_primary), error)
-            answer = fail(lost, f'{pool.entry.ident} gave no answer')
-        finally:
-            if not is_whole:
-                transaction.pooled = None
-                await pool.discard(pooled)
-        return answer
-
-    async def _send_pinned(
-        self, session: Session, statement: Statement, deadline: float
-    ) -> Answer:
-        """Send a statement, again while the target is full."""
-        pooled = session.transaction.pooled
-        gate = session.transaction.pool.gate
-        name = await make_ready(pooled, session, statement, deadline)
-        while True:
-            await _enter_urgently(gate, pooled.organisation, deadline)
-            asked_at = read_clock()
-            is_shed = True
-            try:
-                answer = await pooled.connection.forward(
-                    statement, None, name, find_rest(deadline)
-                )
-                is_shed = answer.failure is Failure.overloaded
-            finally:
-                await gate.leave('', read_clock() - asked_at, is_shed)
-            is_full = answer.failure is Failure.overloaded
-            if not is_full or answer.is_aborted:
-                return answer
-            if read_clock() + RETRY_SECONDS >= deadline:
-                return answer
-            await curio.sleep(RETRY_SECONDS)
-
-
-async def _enter_urgently(gate: Gate, name: str, deadline: float) -> None:
-    """Wait for a turn ahead of requests that hold no connection.
+        pinned = transaction.pinned
+        rest = max(deadline - read_clock(), _LEAST_SECONDS)
+        outcome = await self._relay.run_pinned(
+            pinned, work._replace(seconds=rest, patience=rest)
+        )
+        if outcome.trouble is Trouble.none:
+            return outcome.answer
+        transaction.pinned = None
+        is_primary = not transaction.is_read_only
+        return self._explain(
+            Place(pinned.entry, None, is_primary), outcome, lost
+        )
 
-    :raises TargetLostError: when there was none in time.
-    """
-    patience = find_rest(deadline)
-    try:
-        await gate.enter(name, _URGENT, patience)
-    except PoolError as error:
-        raise TargetLostError(str(error), error.step, error.peer) from error
+    def _explain(self, place: Place, outcome: Outcome, lost: Failure) -> Answer:
+        """Return what a missing answer means."""
+        ident = place.entry.ident
+        if outcome.trouble is Trouble.lost and outcome.is_sent:
+            self._attempts.note_lost(place, outcome.reason)
+        if outcome.is_sent:
+            return fail(lost, f'{ident} gave no answer')
+        return fail(Failure.aborted, f'not run at {ident}: {outcome.reason}')
