Handed lists on within a zone, and spared the store a herd at the start

Change: a zone's reader numbers the changes of its lists and hands on what changed; plans are read from the store as they may be a little old; an instance whose proof is young asks the next instance before the store; no keeper's duty is taken in the first 1.2 s.

--- a/comfreystair/controllers/gateways.py
+++ b/comfreystair/controllers/gateways.py
@@ -25,6 +25,7 @@
 # and for leftovers of instances that are gone.
 _RESERVE_SHARE: Final = 0.1
 _LEAST_RESERVE: Final = 4
+_LEAST_PARTS: Final = 2
 
 
 def count_gateways(connections: int) -> int:
@@ -58,13 +59,13 @@
 def find_limit(connections: int, is_gateway: bool) -> int:
     """Return the connections to one target that an instance may hold.
 
-    One part more than there are gateways, since the connections of a gateway
-    that is lost count until the target has noticed.
+    Where there is one gateway, a second one fits in beside it: what a lost one
+    had counts until the target has noticed.
 
     :param connections: limit of the target over the whole fleet.
     """
     if not is_gateway:
         return _STRAY_CONNECTIONS
     reserve = max(int(connections * _RESERVE_SHARE), _LEAST_RESERVE)
-    parts = count_gateways(connections) + 1
+    parts = max(count_gateways(connections), _LEAST_PARTS)
     return max((connections - reserve) // parts, 1)
--- a/comfreystair/coordination/directory.py
+++ b/comfreystair/coordination/directory.py
@@ -1,4 +1,8 @@
-"""Follow the lists of targets and instances."""
+"""Follow the lists of targets and instances.
+
+One instance of each availability zone reads them from the store; the others
+ask it for what has changed, since calls to the store are shared by the fleet.
+"""
 
 from collections.abc import Awaitable, Callable
 from typing import Final
@@ -6,6 +10,8 @@
 import curio
 
 from comfreystair.clocks import read_clock
+from comfreystair.controllers.listings import ListingController
+from comfreystair.coordination.proofs import ProofExchange
 from comfreystair.coordination.records import (
     INSTANCES_PREFIX,
     KEEPERS_PREFIX,
@@ -18,6 +24,8 @@
 from comfreystair.coordination.state import FleetState
 from comfreystair.exceptions import ComfreystairError
 from comfreystair.observability.decisions import DecisionLog
+from comfreystair.peers import PeerClients, PeerError
+from comfreystair.peers.messages import definitions
 from comfreystair.pooling.members import TargetEntry
 
 # Time between reads of the lists, in seconds; a target that leaves must be
@@ -30,6 +38,13 @@
 # An instance that is no longer listed keeps its part of the connections this
 # long, in seconds: it may only have been unable to renew its registration.
 _REMEMBERED_SECONDS: Final = 30.0
+# Lists taken over from another instance may be this old, in seconds.
+_MOST_AGE_SECONDS: Final = 1.5
+# With lists younger than this the store is not read in place of an instance
+# that did not answer, in seconds.
+_PATIENT_SECONDS: Final = 1.8
+# Bound on asking another instance, in seconds.
+_ASK_SECONDS: Final = 0.5
 
 ParseTargets = Callable[[dict[str, Item]], dict[str, TargetEntry]]
 Changed = Callable[[], Awaitable[None]]
@@ -44,6 +59,8 @@
         store: StoreClient,
         targets_prefix: str,
         parse_targets: ParseTargets,
+        exchange: ProofExchange,
+        peers: PeerClients,
         log: DecisionLog,
     ) -> None:
         """Take the parts."""
@@ -51,7 +68,13 @@
         self._store = store
         self._targets_prefix = targets_prefix
         self._parse_targets = parse_targets
+        self._exchange = exchange
+        self._peers = peers
         self._log = log
+        self._listing = ListingController()
+        self._items: dict[str, Item] = {}
+        self._source = ''
+        self._source_version = 0
         self._missing_since: dict[str, float] = {}
 
     async def run(self, changed: Changed) -> None:
@@ -64,13 +87,98 @@
             await changed()
             await curio.sleep(_READ_SECONDS)
 
+    async def give(self, request) -> object:
+        """Answer another instance with what changed since it asked."""
+        own = self._state.own.incarnation
+        since = request.version if request.incarnation == own else -1
+        changes = self._listing.find_changes(since)
+        return definitions.Lists(
+            incarnation=own,
+            version=changes.version,
+            age_seconds=read_clock() - self._state.lists_read_at,
+            is_whole=changes.is_whole,
+            changed=[
+                definitions.ListedItem(
+                    key=key,
+                    revision=self._items[key].revision,
+                    content=self._items[key].blob,
+                )
+                for key in changes.changed
+            ],
+            gone=list(changes.gone),
+        )
+
     async def _read(self) -> None:
+        exchange = self._exchange
+        if not exchange.is_reader:
+            if await self._take_over(exchange.list_sources()[0]):
+                return
+            age = read_clock() - self._state.lists_read_at
+            if age < _PATIENT_SECONDS:
+                return
+        await self._read_store()
+
+    async def _read_store(self) -> None:
         asked_at = read_clock()
-        items = await self._store.list(self._targets_prefix, is_stale_ok=True)
-        self._take_targets(self._parse_targets(items), read_clock())
+        found = await self._store.list(self._targets_prefix, is_stale_ok=True)
         records = await self._store.list(RECORDS_PREFIX, is_stale_ok=True)
-        self._take_records(records, read_clock())
-        self._state.lists_read_at = asked_at
+        for key, item in records.items():
+            if key.startswith((INSTANCES_PREFIX, KEEPERS_PREFIX)):
+                found[key] = item
+        self._take(found, asked_at)
+
+    async def _take_over(self, source: InstanceRecord) -> bool:
+        """Take over another instance's lists; tell whether they will do."""
+        asked_at = read_clock()
+        request = definitions.ListsRequest(
+            incarnation=self._source, version=self._source_version
+        )
+        try:
+            lists = await self._peers.call(
+                source.address,
+                'lists',
+                request,
+                definitions.Lists,
+                _ASK_SECONDS,
+            )
+        except PeerError as error:
+            self._log.write('lists_not_taken', source=source.name, why=error)
+            return False
+        read_at = asked_at - lists.age_seconds
+        is_old = lists.age_seconds > _MOST_AGE_SECONDS
+        if is_old or read_at < self._state.lists_read_at:
+            return False
+        items = {} if lists.is_whole else dict(self._items)
+        for key in lists.gone or ():
+            items.pop(key, None)
+        for one in lists.changed or ():
+            items[one.key] = Item(one.content or b'', one.revision)
+        self._source = lists.incarnation
+        self._source_version = lists.version
+        self._take(items, read_at)
+        return True
+
+    def _take(self, items: dict[str, Item], read_at: float) -> None:
+        """Take in both lists as they were read."""
+        now = read_clock()
+        targets = {
+            key: item
+            for key, item in items.items()
+            if key.startswith(self._targets_prefix)
+        }
+        entries = self._parse_targets(targets)
+        self._items = items
+        self._listing.update(
+            {
+                key: entries.get(key.removeprefix(self._targets_prefix))
+                if key in targets
+                else item.blob
+                for key, item in items.items()
+            }
+        )
+        self._take_targets(entries, now)
+        self._take_records(items, now)
+        self._state.lists_read_at = read_at
 
     def _take_targets(self, found: dict[str, TargetEntry], now: float) -> None:
         known = self._state.targets
@@ -93,7 +201,8 @@
         instances[state.own.name] = state.own
         for name in instances.keys() ^ state.instances.keys():
             self._log.write('instance', name=name, is_listed=name in instances)
-        state.instances = instances
+        if instances != state.instances:
+            state.instances = instances
         for name, record in instances.items():
             state.recent[name] = (record, now)
         for name, (_record, seen_at) in list(state.recent.items()):
--- a/comfreystair/coordination/keepers.py
+++ b/comfreystair/coordination/keepers.py
@@ -53,8 +53,12 @@
         peers: PeerClients,
         keeper: Keeper,
         log: DecisionLog,
+        settle_seconds: float = 0,
     ) -> None:
-        """Take the parts."""
+        """Take the parts.
+
+        :param settle_seconds: after the start, to get to know the others.
+        """
         self._state = state
         self._store = store
         self._peers = peers
@@ -66,6 +70,7 @@
         self._wanted_since: float | None = None
         self._last_holder: InstanceRecord | None = None
         self._started_at = read_clock()
+        self._settled_at = self._started_at + settle_seconds
 
     async def run(self) -> None:
         """Follow the duty until cancelled."""
@@ -85,7 +90,7 @@
             await self._store.end_lease(ended)
 
     async def _step(self) -> None:
-        if self._state.is_draining:
+        if self._state.is_draining or read_clock() < self._settled_at:
             return
         if self._lease:
             await self._renew()
--- a/comfreystair/coordination/proofs.py
+++ b/comfreystair/coordination/proofs.py
@@ -5,6 +5,7 @@
 from when it asked, so that no delay makes a proof look younger than it is.
 """
 
+from collections.abc import Awaitable, Callable
 from typing import Final
 
 from comfreystair.clocks import read_clock
@@ -13,6 +14,7 @@
 from comfreystair.coordination.ranks import find_rank
 from comfreystair.coordination.records import InstanceRecord, Item
 from comfreystair.coordination.state import FleetState
+from comfreystair.exceptions import ComfreystairError
 from comfreystair.observability.decisions import DecisionLog
 from comfreystair.peers import PeerClients, PeerError
 from comfreystair.peers.messages import definitions
@@ -36,9 +38,14 @@
         state: FleetState,
         plans: PlanBook,
         peers: PeerClients,
+        fetch: Callable[[], Awaitable[Item]],
         log: DecisionLog,
     ) -> None:
-        """Take the parts."""
+        """Take the parts.
+
+        :param fetch: reads the plan from the store, maybe an old one.
+        """
+        self._fetch = fetch
         self._plans = plans
         self._state = state
         self._peers = peers
@@ -83,6 +90,7 @@
         return definitions.Proof(
             plan_revision=self._plans.revision,
             plan_age_seconds=self._state.find_plan_age(now),
+            store_age_seconds=now - self._state.store_read_at,
             groups=[
                 definitions.GroupProof(
                     record=build_notice(name, group.leadership.record),
@@ -108,6 +116,9 @@
         except PeerError as error:
             self._avoid(source, str(error))
             return False
+        if not proof.plan_revision and not self._plans.revision:
+            # There is no plan yet; who reads the store says so.
+            return proof.store_age_seconds <= _MOST_AGE_SECONDS
         is_old = proof.plan_age_seconds > _MOST_AGE_SECONDS
         if is_old or proof.plan_revision < self._plans.revision:
             self._avoid(source, f'proof of {proof.plan_age_seconds:.1f} s')
@@ -124,7 +135,19 @@
         return True
 
     async def _catch_up(self, source: InstanceRecord, proof) -> None:
-        """Fetch the plan that a proof is of, if it is newer."""
+        """Fetch the plan that a proof is of, if it is newer.
+
+        The store has a far wider link than an instance, of which all the
+        others of the zone would ask for the plan at once.
+        """
+        if proof.plan_revision <= self._plans.revision:
+            return
+        try:
+            found = await self._fetch()
+        except ComfreystairError as error:
+            self._log.write('plan_not_fetched', reason=error)
+        else:
+            self._plans.take(found, float('-inf'), 'store')
         if proof.plan_revision <= self._plans.revision:
             return
         read = await self._peers.call(
--- a/comfreystair/coordination/pulse.py
+++ b/comfreystair/coordination/pulse.py
@@ -36,8 +36,11 @@
 # Life of this instance's registration without renewal, in seconds: twice a
 # proof's, so that no proof outlives the registration it implies.
 LEASE_SECONDS: Final = 7.0
-_RENEW_SECONDS: Final = 2.0
+_RENEW_SECONDS: Final = 2.8
 _MOST_ATTEMPTS: Final = 3
+# With a proof younger than this another instance is asked before the store is,
+# in seconds: half of a proof's life.
+_PATIENT_SECONDS: Final = 1.5
 # Keys in one call at most, as the store states it.
 _MOST_KEYS: Final = 32
 
@@ -100,10 +103,14 @@
     async def _beat(self) -> None:
         """Take a proof over, or read the store, or ask other zones."""
         exchange = self._exchange
-        if self._state.plan and not exchange.is_reader:
+        if not exchange.is_reader:
             if await exchange.take(exchange.list_sources()[0]):
                 await self._try_renew()
                 return
+            if self._state.find_plan_age(read_clock()) < _PATIENT_SECONDS:
+                # Another instance is asked next; the store is spared a herd.
+                await self._wake.set()
+                return
         try:
             await self._read_store()
         except ComfreystairError as error:
@@ -152,6 +159,7 @@
             expected[f'{GROUPS_PREFIX}{group}'] = record.revision
         asked_at = read_clock()
         outcome = await self._store.change(expected)
+        self._state.store_read_at = asked_at
         if isinstance(outcome, Conflict):
             await self._take_conflict(expected, outcome, groups, asked_at)
             return
--- a/comfreystair/coordination/records.py
+++ b/comfreystair/coordination/records.py
@@ -65,6 +65,9 @@
 class StoreClient(Protocol):
     """The store as coordination uses it."""
 
+    async def read(self, key: str) -> Item:
+        """Return a key's content, which may be seconds old."""
+
     async def list(self, prefix: str, is_stale_ok: bool) -> dict[str, Item]:
         """Return all keys with a prefix."""
 
--- a/comfreystair/coordination/state.py
+++ b/comfreystair/coordination/state.py
@@ -50,6 +50,7 @@
         self.own = own
         self.plan: ServingPlan | None = None
         self.plan_proved_at = float('-inf')
+        self.store_read_at = float('-inf')
         self.targets: dict[str, TargetEntry] = {}
         self.lists_read_at = float('-inf')
         self.instances: dict[str, InstanceRecord] = {own.name: own}
--- a/comfreystair/entry.py
+++ b/comfreystair/entry.py
@@ -78,6 +78,9 @@
 # Kept of a shutdown's time for giving duties back, in seconds.
 _LEAVE_SECONDS: Final = 0.8
 _STEP_SECONDS: Final = 0.1
+# After its start an instance takes no keeper's duty this long, in seconds: all
+# start at once and would each try, before the second reading of the lists.
+_SETTLE_SECONDS: Final = 1.2
 # A transaction of another instance's caller is rolled back this long after
 # that instance should have done so, in seconds.
 _LEFT_SECONDS: Final = 1.0
@@ -109,7 +112,11 @@
         self._peers = PeerClients(self._dial, _PEER_SECONDS, '')
         self._plans = PlanBook(self._state, parse_plan, self._log)
         self._exchange = ProofExchange(
-            self._state, self._plans, self._peers, self._log
+            self._state,
+            self._plans,
+            self._peers,
+            lambda: store.read(PLAN_KEY),
+            self._log,
         )
         self._pulse = Pulse(
             self._state,
@@ -120,11 +127,22 @@
             self._log,
         )
         self._directory = Directory(
-            self._state, store, TARGETS_PREFIX, parse_targets, self._log
+            self._state,
+            store,
+            TARGETS_PREFIX,
+            parse_targets,
+            self._exchange,
+            self._peers,
+            self._log,
         )
         self._keeper = Keeper(self._state, len(settings.zones))
         self._duty = KeeperDuty(
-            self._state, store, self._peers, self._keeper, self._log
+            self._state,
+            store,
+            self._peers,
+            self._keeper,
+            self._log,
+            _SETTLE_SECONDS,
         )
         promoter = Promoter(
             HttpClient(self._dial, settings.promotion.address),
@@ -234,6 +252,7 @@
             'group': Method(definitions.GroupNotice, self._notices.take_notice),
             'heard': Method(definitions.GroupInquiry, self._notices.tell_heard),
             'proof': Method(definitions.ProofRequest, self._exchange.give),
+            'lists': Method(definitions.ListsRequest, self._directory.give),
             'plan': Method(definitions.Empty, self._plans.give),
             'identify': Method(definitions.Empty, self._identify),
         }
--- a/comfreystair/peers/comfreystair.thrift
+++ b/comfreystair/peers/comfreystair.thrift
@@ -146,7 +146,8 @@
 struct Proof {
     1: i64 plan_revision,
     2: double plan_age_seconds,
-    3: list<GroupProof> groups
+    3: list<GroupProof> groups,
+    4: double store_age_seconds
 }
 
 struct GroupInquiry {
--- a/comfreystair/platform/store.py
+++ b/comfreystair/platform/store.py
@@ -61,6 +61,17 @@
         self._http = http
         self._seconds = seconds
 
+    async def read(self, key: str) -> Item:
+        """Return a key's content, which may be seconds old.
+
+        :returns: an item with revision 0 where the key does not exist.
+        """
+        query = urlencode({'Key': key, 'AllowStale': '1'})
+        reply = await self._call('GET', f'/kv-key?{query}')
+        if reply.status == _NOT_FOUND:
+            return Item(b'', 0)
+        return _convert(_decode(reply.body, _Item))
+
     async def list(self, prefix: str, is_stale_ok: bool) -> dict[str, Item]:
         """Return all keys with a prefix.
 
--- /dev/null
+++ b/tests/controllers/test_gateways.py
@@ -0,0 +1,49 @@
+"""Gateways share a target's connections, and agree who has which."""
+
+import unittest
+
+from comfreystair.controllers.gateways import (
+    choose_gateway,
+    count_gateways,
+    find_limit,
+    rank_gateways,
+)
+
+NAMES = tuple(f'entry-{number}' for number in range(48))
+
+
+class GatewaysTest(unittest.TestCase):
+    """Who holds connections, and how many."""
+
+    def test_limits_fit_into_the_targets(self) -> None:
+        """All gateways stay within it, a single one and its successor too."""
+        for connections in (6, 34, 81, 98, 478):
+            parts = max(count_gateways(connections), 2)
+            held = find_limit(connections, is_gateway=True) * parts
+            self.assertLess(held, connections)
+            self.assertGreater(held, 0)
+
+    def test_gateway_that_goes_moves_nobody_else(self) -> None:
+        """Organisations of the others stay where their connections are."""
+        ranked = rank_gateways('t', NAMES)
+        before, after = ranked[:4], ranked[1:5]
+        for number in range(100):
+            organisation = f'office-{number}'
+            was = choose_gateway(organisation, before)
+            now = choose_gateway(organisation, after)
+            self.assertTrue(was == now or was == ranked[0] or now == ranked[4])
+
+    def test_order_does_not_depend_on_the_list(self) -> None:
+        """Two instances with differently ordered lists agree."""
+        self.assertEqual(
+            rank_gateways('t', NAMES),
+            rank_gateways('t', tuple(reversed(NAMES))),
+        )
+
+    def test_nobody_is_chosen_of_none(self) -> None:
+        """An empty zone has no gateway."""
+        self.assertEqual(choose_gateway('office', ()), '')
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/tests/coordination/fakes.py
+++ b/tests/coordination/fakes.py
@@ -30,6 +30,11 @@
         self.calls = 0
         self._leases: set[int] = set()
 
+    async def read(self, key: str) -> Item:
+        """Return a key's content."""
+        self._check()
+        return self.items.get(key, Item(b'', 0))
+
     async def list(self, prefix: str, is_stale_ok: bool) -> dict[str, Item]:
         """Return all keys with a prefix."""
         self._check()
@@ -89,6 +94,10 @@
         self.methods: dict[tuple[str, str], Callable[..., Awaitable]] = {}
         self.unreachable: set[str] = set()
 
+    def is_stalled(self, _address: str, _seconds: float) -> bool:
+        """Tell that nobody hangs."""
+        return False
+
     def serve(self, address: str, method: str, handle) -> None:
         """Let an address answer a method."""
         self.methods[(address, method)] = handle
