Let gateways fail over, and lost no connection that was promised

Three reasons, each traced in logs: an instance that stood in did not know it and had two connections; a connection that was promised to a waiter could be closed before its use, which crashed the task and lost its place for good; a limit that was raised while requests waited let nobody in, so one connection stayed one.

Ruled out: the rate limits (1,928 of 6,593 refusals, all after the power loss), the targets (77 of 7,664 statements turned away).

Change: every instance may hold a gateway's connections and closes those without use; an instance that shuts down says so in its registration; all that fit are woken; a begin that was given up holds nothing; an attempt that found no gateway does not count against the target.

--- a/comfreystair/controllers/gateways.py
+++ b/comfreystair/controllers/gateways.py
@@ -13,19 +13,15 @@
 
 from comfreystair.controllers.membership import hash_member
 
-# Connections that a gateway should have, at least: enough for the statements
-# of a target to run side by side for several organisations.
-_LEAST_CONNECTIONS: Final = 24
+# Connections that a gateway should have, at least: open transactions hold one
+# each through their pauses, and one organisation may have most of them.
+_LEAST_CONNECTIONS: Final = 48
 # Gateways of a target at most: more would spread its connections too thinly.
 _MOST_GATEWAYS: Final = 4
-# Connections that an instance which is no gateway may hold, for the time in
-# which it can't reach one.
-_STRAY_CONNECTIONS: Final = 2
 # Part of a target's connections that is kept for questions about its status
 # and for leftovers of instances that are gone.
 _RESERVE_SHARE: Final = 0.1
 _LEAST_RESERVE: Final = 4
-_LEAST_PARTS: Final = 2
 
 
 def count_gateways(connections: int) -> int:
@@ -56,16 +52,13 @@
     )
 
 
-def find_limit(connections: int, is_gateway: bool) -> int:
+def find_limit(connections: int) -> int:
     """Return the connections to one target that an instance may hold.
 
-    Where there is one gateway, a second one fits in beside it: what a lost one
-    had counts until the target has noticed.
+    It is the same for all: whoever stands in for a gateway that is lost does
+    so before it can know.
 
     :param connections: limit of the target over the whole fleet.
     """
-    if not is_gateway:
-        return _STRAY_CONNECTIONS
     reserve = max(int(connections * _RESERVE_SHARE), _LEAST_RESERVE)
-    parts = max(count_gateways(connections), _LEAST_PARTS)
-    return max((connections - reserve) // parts, 1)
+    return max((connections - reserve) // count_gateways(connections), 1)
--- a/comfreystair/controllers/seats.py
+++ b/comfreystair/controllers/seats.py
@@ -100,10 +100,13 @@
         """Count a held connection as gone."""
         self._held -= 1
 
-    def forget(self, seat: Seat) -> None:
-        """Count a resting connection as gone."""
-        if seat in self._resting:
-            self._resting.remove(seat)
+    def forget_resting(self) -> list[Seat]:
+        """Return the resting connections and count them as gone.
+
+        One that was promised to a request rests no more.
+        """
+        forgotten, self._resting = self._resting, []
+        return forgotten
 
     def _take(self, move: SeatMove, seat: Seat | None) -> SeatDecision:
         if seat is not None:
--- a/comfreystair/coordination/keepers.py
+++ b/comfreystair/coordination/keepers.py
@@ -57,7 +57,8 @@
     ) -> None:
         """Take the parts.
 
-        :param settle_seconds: after the start, to get to know the others.
+        :param settle_seconds: after the start, to get to know the others,
+            where there is no trace of an earlier holder.
         """
         self._state = state
         self._store = store
@@ -90,7 +91,7 @@
             await self._store.end_lease(ended)
 
     async def _step(self) -> None:
-        if self._state.is_draining or read_clock() < self._settled_at:
+        if self._state.is_draining:
             return
         if self._lease:
             await self._renew()
@@ -102,6 +103,8 @@
                 self._wanted_since = None
                 return
         now = read_clock()
+        if holder is None and now < self._settled_at:
+            return
         if self._wanted_since is None:
             self._wanted_since = now
         if now - self._wanted_since >= self._find_rank() * _RANK_SECONDS:
--- a/comfreystair/coordination/pulse.py
+++ b/comfreystair/coordination/pulse.py
@@ -9,6 +9,7 @@
 from typing import Final
 
 import curio
+import msgspec
 
 from comfreystair.clocks import read_clock
 from comfreystair.coordination.pauses import vary
@@ -81,6 +82,18 @@
         """Read a proof now."""
         await self._wake.set()
 
+    async def leave(self) -> None:
+        """Tell the others that this instance is shutting down."""
+        own = msgspec.structs.replace(self._state.own, is_leaving=True)
+        outcome = await self._store.change(
+            {self._own_key: self._own_revision},
+            {self._own_key: encode_record(own)},
+            self._lease,
+            (self._own_key,),
+        )
+        if isinstance(outcome, Committed):
+            self._own_revision = outcome.revision
+
     async def run(self) -> None:
         """Read proofs until cancelled."""
         pause = _RETRY_SECONDS
--- a/comfreystair/coordination/records.py
+++ b/comfreystair/coordination/records.py
@@ -46,12 +46,14 @@
 
     :param address: ``host:port`` for messages between instances.
     :param incarnation: one life of its process.
+    :param is_leaving: it is shutting down and takes no work of others.
     """
 
     name: str
     zone: str
     address: str
     incarnation: str
+    is_leaving: bool = False
 
 
 class GroupRecord(msgspec.Struct, frozen=True):
--- a/comfreystair/entry.py
+++ b/comfreystair/entry.py
@@ -81,6 +81,9 @@
 # After its start an instance takes no keeper's duty this long, in seconds: all
 # start at once and would each try, before the second reading of the lists.
 _SETTLE_SECONDS: Final = 1.2
+# An instance that was asked to work at a target keeps its connections there
+# this long, in seconds, though it is no gateway.
+_STAND_IN_SECONDS: Final = 2.0
 # A transaction of another instance's caller is rolled back this long after
 # that instance should have done so, in seconds.
 _LEFT_SECONDS: Final = 1.0
@@ -174,7 +177,7 @@
         )
         self._board = TargetBoard(instance.zone, self._open)
         self._book = GatewayBook(self._state, self._peers)
-        self._local = LocalWork(self._board, own.incarnation, self._log)
+        self._local = LocalWork(self._board, self._log)
         self._counters = Counters()
         self._desk = self._build_desk()
 
@@ -278,13 +281,19 @@
         await self._board.update(
             self._state.targets.values(),
             self._book.find_limit,
-            self._book.is_gateway,
+            self._has_use,
         )
         plan = self._state.plan
         if plan is not None:
             rest = plan.idle_seconds + _LEFT_SECONDS
             await self._local.end_idle(read_clock() - rest)
 
+    def _has_use(self, entry: TargetEntry) -> bool:
+        """Tell whether resting connections to a target will be used."""
+        asked_at = self._local.find_asked(entry.ident)
+        is_asked = read_clock() - asked_at < _STAND_IN_SECONDS
+        return is_asked or self._book.is_gateway(entry)
+
     async def _accept(self, sock: socket.socket) -> None:
         async with sock:
             while True:
@@ -339,10 +348,11 @@
             await session.reading.cancel(blocking=False)
 
     async def _leave(self) -> None:
-        try:
-            await self._duty.leave()
-        except ComfreystairError as error:
-            self._log.write('duty_not_given_back', reason=error)
+        for step in (self._duty.leave, self._pulse.leave):
+            try:
+                await step()
+            except ComfreystairError as error:
+                self._log.write('leaving_not_told', reason=error)
 
 
 def main() -> None:
--- a/comfreystair/gateways/book.py
+++ b/comfreystair/gateways/book.py
@@ -66,7 +66,7 @@
         """Return the connections to a target that this instance may hold."""
         plan = self._state.plan
         connections = plan.connections.get(entry.group, 0) if plan else 0
-        return find_limit(connections, self.is_gateway(entry))
+        return find_limit(connections)
 
     def is_gateway(self, entry: TargetEntry) -> bool:
         """Tell whether this instance is one of a target's gateways."""
--- a/comfreystair/gateways/relay.py
+++ b/comfreystair/gateways/relay.py
@@ -1,5 +1,6 @@
 """Have work done where a target's connections are, here or elsewhere."""
 
+import itertools
 from typing import Final, NamedTuple
 
 import curio
@@ -48,6 +49,7 @@
         self._local = local
         self._peers = peers
         self._log = log
+        self._numbers = itertools.count(1)
 
     async def run(self, entry: TargetEntry, work: Work) -> Outcome:
         """Run a single statement."""
@@ -61,15 +63,21 @@
     async def begin(
         self, entry: TargetEntry, work: Work, is_read_only: bool
     ) -> tuple[Outcome, Pinned]:
-        """Open a transaction; its handle is empty without success."""
+        """Open a transaction."""
         gateway = self._book.find(entry, work.organisation)
+        handle = f'{self._own.incarnation}/{next(self._numbers)}'
+        pinned = Pinned(entry, gateway, handle)
         if self._is_own(gateway):
-            outcome = await self._local.begin(entry.ident, work, is_read_only)
-        else:
-            request = pack_work(_shorten(work), entry.ident)
-            outcome = await self._ask(gateway, 'begin', request, work.seconds)
-            outcome = self._note(gateway, entry, outcome)
-        return outcome, Pinned(entry, gateway, outcome.handle)
+            outcome = await self._local.begin(
+                entry.ident, handle, work, is_read_only
+            )
+            return outcome, pinned
+        request = pack_work(_shorten(work), entry.ident, handle)
+        outcome = await self._ask(gateway, 'begin', request, work.seconds)
+        if outcome.trouble is Trouble.away and outcome.is_sent:
+            # It may be open there by now, and nobody would use it.
+            await self.end(pinned)
+        return self._note(gateway, entry, outcome), pinned
 
     async def run_pinned(self, pinned: Pinned, work: Work) -> Outcome:
         """Run a statement of an open transaction."""
--- a/comfreystair/gateways/service.py
+++ b/comfreystair/gateways/service.py
@@ -40,7 +40,9 @@
             return pack_outcome(miss(Trouble.away, _LEAVING))
         work = unpack_work(request)
         is_read_only = work.statement.kind is StatementKind.begin_read
-        outcome = await self._local.begin(request.target, work, is_read_only)
+        outcome = await self._local.begin(
+            request.target, request.handle, work, is_read_only
+        )
         return pack_outcome(outcome)
 
     async def run_pinned(self, request) -> object:
--- a/comfreystair/gateways/structures.py
+++ b/comfreystair/gateways/structures.py
@@ -66,7 +66,6 @@
         trouble=outcome.trouble.name if is_missing else '',
         is_sent=outcome.is_sent,
         reason=outcome.reason,
-        handle=outcome.handle,
     )
 
 
@@ -85,7 +84,6 @@
         Trouble[sent.trouble] if sent.trouble else Trouble.none,
         bool(sent.is_sent),
         sent.reason or '',
-        sent.handle or '',
     )
 
 
--- a/comfreystair/peers/comfreystair.thrift
+++ b/comfreystair/peers/comfreystair.thrift
@@ -202,8 +202,7 @@
     6: bool is_aborted,
     7: string trouble,
     8: bool is_sent,
-    9: string reason,
-    10: string handle
+    9: string reason
 }
 
 struct WorkEnd {
--- a/comfreystair/pooling/board.py
+++ b/comfreystair/pooling/board.py
@@ -29,12 +29,12 @@
         self,
         entries: Iterable[TargetEntry],
         find_limit: FindLimit,
-        is_gateway: Callable[[TargetEntry], bool],
+        has_use: Callable[[TargetEntry], bool],
     ) -> None:
         """Take over the targets there are and who holds connections to them.
 
-        Connections that rest where this instance is no gateway are closed:
-        they count against the limit that the gateways need.
+        Connections that rest without use are closed: they count against the
+        limit of the whole fleet.
         """
         wanted = {one.ident: one for one in entries}
         for ident, pool in list(self._pools.items()):
@@ -49,7 +49,7 @@
                 self._health[ident] = TargetHealth()
             else:
                 await pool.set_limit(limit)
-                if not is_gateway(entry):
+                if not has_use(entry):
                     await pool.close_resting()
 
     def count_start(self, ident: str) -> None:
--- a/comfreystair/pooling/pool.py
+++ b/comfreystair/pooling/pool.py
@@ -91,6 +91,7 @@
         """Change how many connections may be held."""
         for seat in self._seats.set_limit(limit):
             await self._close_resting(seat)
+        await self._wake('')
 
     async def take(
         self, organisation: str, priority: int, seconds: float
@@ -133,8 +134,7 @@
 
     async def close_resting(self) -> None:
         """Close the connections that nobody uses."""
-        for seat in list(self._resting):
-            self._seats.forget(seat)
+        for seat in self._seats.forget_resting():
             await self._close_resting(seat)
 
     async def close(self) -> None:
@@ -200,20 +200,21 @@
             await pooled.connection.close()
 
     async def _wake(self, organisation: str) -> None:
-        """Give the next request its turn.
+        """Give those that wait their turns, as many as there is room for.
 
         :param organisation: whose connection has just become free.
         """
-        ticket = self._queue.choose(organisation, read_clock())
-        if ticket is None:
-            return
-        decision = self._seats.decide(ticket.organisation)
-        if decision.move is SeatMove.wait:
-            return
-        self._queue.remove(ticket)
-        waiter = self._waiters.pop(ticket)
-        waiter.decision = decision
-        await waiter.event.set()
+        while self._waiters:
+            ticket = self._queue.choose(organisation, read_clock())
+            if ticket is None:
+                return
+            decision = self._seats.decide(ticket.organisation)
+            if decision.move is SeatMove.wait:
+                return
+            self._queue.remove(ticket)
+            waiter = self._waiters.pop(ticket)
+            waiter.decision = decision
+            await waiter.event.set()
 
 
 class _Waiter:
--- a/comfreystair/pooling/work.py
+++ b/comfreystair/pooling/work.py
@@ -5,7 +5,6 @@
 """
 
 import enum
-import itertools
 from typing import Final, NamedTuple
 
 import curio
@@ -78,14 +77,12 @@
     """What became of a piece of work.
 
     :param is_sent: the target may have got the statement.
-    :param handle: names the transaction that was begun.
     """
 
     answer: Answer
     trouble: Trouble = Trouble.none
     is_sent: bool = False
     reason: str = ''
-    handle: str = ''
 
 
 _NO_ANSWER: Final = fail(Failure.overloaded, 'not run')
@@ -110,30 +107,30 @@
 class LocalWork:
     """Work on connections that this instance holds."""
 
-    def __init__(
-        self, board: TargetBoard, incarnation: str, log: DecisionLog
-    ) -> None:
-        """Start without open transactions.
-
-        :param incarnation: of this process, part of every handle.
-        """
+    def __init__(self, board: TargetBoard, log: DecisionLog) -> None:
+        """Start without open transactions."""
         self._board = board
-        self._incarnation = incarnation
         self._log = log
         self._pinned: dict[str, _Pinned] = {}
-        self._numbers = itertools.count(1)
+        self._opening: set[str] = set()
         self._running = 0
+        self._asked: dict[str, float] = {}
 
     @property
     def open_count(self) -> int:
         """Return statements that run and transactions that are open."""
         return self._running + len(self._pinned)
 
+    def find_asked(self, target: str) -> float:
+        """Return when work at a target was last asked for."""
+        return self._asked.get(target, float('-inf'))
+
     async def run(self, target: str, work: Work) -> Outcome:
         """Run a single statement."""
         pool = self._board.find_pool(target)
         if pool is None:
             return miss(Trouble.away, _UNKNOWN_TARGET)
+        self._asked[target] = read_clock()
         deadline = read_clock() + work.seconds
         self._running += 1
         try:
@@ -142,34 +139,18 @@
             self._running -= 1
 
     async def begin(
-        self, target: str, work: Work, is_read_only: bool
+        self, target: str, handle: str, work: Work, is_read_only: bool
     ) -> Outcome:
-        """Open a transaction; the outcome has its handle."""
+        """Open a transaction under a handle, unless it is ended meanwhile."""
         pool = self._board.find_pool(target)
         if pool is None:
             return miss(Trouble.away, _UNKNOWN_TARGET)
-        deadline = read_clock() + work.seconds
-        taken = await _take(pool, work, work.seconds)
-        if isinstance(taken, Outcome):
-            return taken
-        has_begun = False
+        self._asked[target] = read_clock()
+        self._opening.add(handle)
         try:
-            await align(taken, work.values, _find_rest(deadline))
-            answer = await taken.connection.begin(
-                is_read_only, work.floor, _find_rest(deadline)
-            )
-            has_begun = answer.failure is None
-        except TargetLostError as error:
-            await pool.close_resting()
-            return miss(Trouble.lost, str(error))
+            return await self._open(pool, handle, work, is_read_only)
         finally:
-            if not has_begun:
-                await pool.discard(taken)
-        handle = ''
-        if has_begun:
-            handle = f'{self._incarnation}/{next(self._numbers)}'
-            self._pinned[handle] = _Pinned(pool, taken)
-        return Outcome(answer, handle=handle)
+            self._opening.discard(handle)
 
     async def run_pinned(self, handle: str, work: Work) -> Outcome:
         """Run a statement of an open transaction."""
@@ -196,6 +177,8 @@
 
     async def end(self, handle: str) -> None:
         """Roll a transaction back, if it is still open."""
+        # One that is being opened is not kept.
+        self._opening.discard(handle)
         pinned = self._pinned.get(handle)
         if pinned is None:
             return
@@ -224,6 +207,30 @@
                 )
                 await self.end(handle)
 
+    async def _open(
+        self, pool: TargetPool, handle: str, work: Work, is_read_only: bool
+    ) -> Outcome:
+        deadline = read_clock() + work.seconds
+        taken = await _take(pool, work, work.seconds)
+        if isinstance(taken, Outcome):
+            return taken
+        has_begun = False
+        try:
+            await align(taken, work.values, _find_rest(deadline))
+            answer = await taken.connection.begin(
+                is_read_only, work.floor, _find_rest(deadline)
+            )
+            has_begun = answer.failure is None and handle in self._opening
+        except TargetLostError as error:
+            await pool.close_resting()
+            return miss(Trouble.lost, str(error))
+        finally:
+            if not has_begun:
+                await pool.discard(taken)
+        if has_begun:
+            self._pinned[handle] = _Pinned(pool, taken)
+        return Outcome(answer)
+
     async def _run_on(self, pinned: _Pinned, work: Work) -> Outcome:
         """Send a statement, again while the target is full."""
         gate = pinned.pool.gate
--- a/comfreystair/sessions/attempts.py
+++ b/comfreystair/sessions/attempts.py
@@ -25,6 +25,9 @@
 RETRY_SECONDS: Final = 0.02
 MOST_ATTEMPTS: Final = 6
 NOT_SERVED: Final = fail(Failure.overloaded, 'not run, retry after 300 ms')
+_NO_GATEWAY: Final = fail(
+    Failure.overloaded, 'gateway away, not run, retry after 300 ms'
+)
 # How long a full target is left alone, in seconds.
 _SHED_SECONDS: Final = 0.03
 # The same for a target that says it is no primary, in seconds.
@@ -104,7 +107,7 @@
             self._state.find_group(place.entry.group).miss(read_clock())
         if outcome.is_sent:
             return fail(lost, f'{ident} gave no answer')
-        return NOT_SERVED
+        return _NO_GATEWAY if trouble is Trouble.away else NOT_SERVED
 
     async def acknowledge(
         self, group: GroupState, place: Place, answer: Answer
@@ -178,6 +181,9 @@
 
 async def prepare_retry(need: Need, place: Place, answer: Answer) -> bool:
     """Keep off a place that failed; tell whether another may do."""
+    if answer is _NO_GATEWAY:
+        # The next gateway of the same target may do.
+        return True
     if not place.is_primary:
         need.tried.add(place.entry.ident)
         return True
--- a/tests/gateways/test_relay.py
+++ b/tests/gateways/test_relay.py
@@ -114,6 +114,22 @@
         self.assertFalse(outcome.is_sent)
         self.assertEqual(self.target.texts, ['begin', 'rollback'])
 
+    def test_begin_that_was_given_up_holds_nothing(self) -> None:
+        """Its connection is free although the gateway began it later."""
+
+        async def call():
+            local = self.fleet.locals[self.gateway.name]
+            work = build_work(ORGANISATION, StatementKind.begin)
+            opening = await curio.spawn(local.begin, 't', 'h', work, False)
+            await curio.sleep(0)
+            await local.end('h')
+            await opening.join()
+            return local.open_count
+
+        self.target.begin_seconds = 0.01
+        self.assertEqual(self.play(call), 0)
+        self.assertEqual(self.target.connections, 0)
+
     def test_rollback_waits_for_no_running_statement(self) -> None:
         """Its connection is closed once the statement has ended."""
 
--- a/tests/pooling/test_pool.py
+++ b/tests/pooling/test_pool.py
@@ -93,6 +93,37 @@
         curio.run(play)
         self.assertEqual(self.pool.held, 2)
 
+    def test_connection_promised_to_a_waiter_is_not_closed(self) -> None:
+        """Closing what rests between its promise and its use loses no place."""
+
+        async def play() -> None:
+            held = [await self.pool.take('red', 1, 1) for _ in range(2)]
+            waiting = await curio.spawn(self.pool.take, 'red', 1, 5)
+            await curio.sleep(0)
+            await self.pool.give_back(held[0])
+            await self.pool.close_resting()
+            await self.pool.give_back(await waiting.join())
+
+        curio.run(play)
+        self.assertEqual(self.pool.held, 1)
+
+    def test_raised_limit_lets_all_that_wait_in(self) -> None:
+        """As many as now fit, although no connection was given back."""
+
+        async def play() -> None:
+            pool = TargetPool(ENTRY, 1, self.open)
+            await pool.take('red', 1, 1)
+            waiting = [
+                await curio.spawn(pool.take, 'red', 1, 0.5) for _ in range(2)
+            ]
+            await curio.sleep(0)
+            await pool.set_limit(3)
+            for task in waiting:
+                await task.join()
+
+        curio.run(play)
+        self.assertEqual(len(self.opened), 3)
+
     def test_waiting_ends_in_time(self) -> None:
         """With an error that says that nothing was sent."""
 
