--- a/comfreystair/controllers/seats.py
+++ b/comfreystair/controllers/seats.py
@@ -105,7 +105,8 @@
 
         One that was promised to a request rests no more.
         """
-        forgotten, self._resting = self._resting, []
+        forgotten = self._resting
+        self._resting = []
         return forgotten
 
     def _take(self, move: SeatMove, seat: Seat | None) -> SeatDecision:
