Added a randomized fault soak of entry instances

Found while writing, all in the soak itself: ids used again by two callers, own-write sessions held to writes of earlier ones, a token kept as bytes.

--- a/standins/platform/__main__.py
+++ b/standins/platform/__main__.py
@@ -23,6 +23,7 @@
     def __init__(self, shape: dict) -> None:
         """Build what the file describes."""
         self._shape = shape
+        self._advertised = shape.get('advertised', {})
         self._keyspace = Keyspace()
         self._is_down = False
         self._promotions: list[tuple[str, str, str]] = []
@@ -60,7 +61,7 @@
             return
         entry = {
             'Service': name,
-            'Addr': f'127.0.0.1:{port}',
+            'Addr': f'127.0.0.1:{self._advertised.get(ident, port)}',
             'Zone': 'lima-a',
             'Version': 'v1',
             'Slots': 4,
@@ -99,13 +100,18 @@
             return 503, {}
         if url.path == '/promote':
             token = dict(request.headers)[b'x-comfreystair-fencing-token']
-            self._promotions.append((read['Service'], read['Id'], str(token)))
+            self._promotions.append(
+                (read['Service'], read['Id'], token.decode())
+            )
             group = self._groups[read['Service']]
             return (200 if group.promote(read['Id']) else 409), {}
         return self._store(url, read)
 
     def _store(self, url, read: dict) -> tuple[int, dict]:
         keyspace = self._keyspace
+        if url.path == '/kv-key':
+            item = keyspace.find(parse_qs(url.query)['Key'][0])
+            return (200, item) if item else (404, {})
         last = url.path.rpartition('/')[2]
         if url.path == '/kv-range':
             prefix = parse_qs(url.query)['Prefix'][0]
@@ -131,6 +137,10 @@
                 if read['kill'] in group.copies:
                     group.copies[read['kill']].is_up = False
                     self._keyspace.remove(f'servers/{read["kill"]}')
+        if 'revive' in read:
+            for group in self._groups.values():
+                if read['revive'] in group.copies:
+                    group.revive(read['revive'])
         return {
             'promotions': self._promotions,
             'runs': {
--- a/standins/platform/deployment.py
+++ b/standins/platform/deployment.py
@@ -4,9 +4,11 @@
 import json
 import os
 import pathlib
+import secrets
 import socket
 import subprocess
 import sys
+import threading
 import time
 import urllib.request
 from typing import Final
@@ -32,12 +34,26 @@
     """A platform with one group of three targets, and some instances."""
 
     def __init__(
-        self, directory: pathlib.Path, instances: int, lag: float = 0.02
+        self,
+        directory: pathlib.Path,
+        instances: int,
+        lag: float = 0.02,
+        has_proxy: bool = False,
     ) -> None:
-        """Choose ports; nothing runs before :meth:`start`."""
-        ports = find_ports(1 + len(TARGETS) + 4 * instances)
+        """Choose ports; nothing runs before :meth:`start`.
+
+        :param has_proxy: put a fault proxy before the targets and, for each
+            instance, before the platform.
+        """
+        links = [*TARGETS, *(f'store-{one}' for one in range(instances))]
+        ports = find_ports(2 + len(links) + len(TARGETS) + 4 * instances)
         self._directory = directory
-        self._port, *rest = ports
+        self._port, self._proxy_port, *rest = ports
+        self._links = dict(zip(links, rest, strict=False)) if has_proxy else {}
+        rest = rest[len(links) :]
+        self._rules: list[dict] = []
+        self._lock = threading.Lock()
+        self._holds = [threading.Lock() for _ in range(instances)]
         self._targets = dict(zip(TARGETS, rest, strict=False))
         rest = rest[len(TARGETS) :]
         self._instances = [
@@ -60,10 +76,13 @@
                     'port': self._port,
                     'groups': {GROUP: self._targets},
                     'lag': self._lag,
+                    'advertised': self._links,
                 }
             )
         )
         self._run('platform', ['standins.platform', str(shape)], {})
+        if self._links:
+            self._start_proxy()
         self._wait(lambda: self.command(plan=build_plan([KEY])))
         for number in range(len(self._instances)):
             self.start_instance(number)
@@ -75,6 +94,7 @@
         callers, ready, peer, metrics = self._instances[number]
         path = self._directory / f'entry-{number}.json'
         host = '127.0.0.1'
+        platform = self._links.get(f'store-{number}', self._port)
         path.write_text(
             json.dumps(
                 {
@@ -90,8 +110,8 @@
                         'peer_port': peer,
                         'metrics_port': metrics,
                     },
-                    'store': {'address': f'{host}:{self._port}'},
-                    'promotion': {'address': f'{host}:{self._port}'},
+                    'store': {'address': f'{host}:{platform}'},
+                    'promotion': {'address': f'{host}:{platform}'},
                 }
             )
         )
@@ -101,6 +121,32 @@
             {'COMFREYSTAIR_SETTINGS': str(path)},
         )
 
+    def add_rule(self, rule: dict) -> None:
+        """Put a rule of the proxy in force besides the others."""
+        with self._lock:
+            self._rules.append(rule)
+            self._send_rules()
+
+    def drop_rule(self, rule: dict) -> None:
+        """End a rule of the proxy."""
+        with self._lock:
+            self._rules.remove(rule)
+            self._send_rules()
+
+    def hold_instance(self, number: int) -> threading.Lock:
+        """Return what keeps others from signalling an instance meanwhile."""
+        return self._holds[number]
+
+    def can_write(self, number: int) -> bool:
+        """Tell whether an instance serves a write."""
+        try:
+            caller = Caller(self.callers_ports[number], 'strict')
+            answer = caller.ask(f'WRITE probe-{number} x')
+        except OSError:
+            return False
+        caller.close()
+        return answer[0].startswith('COMPLETE')
+
     def is_ready(self, number: int) -> bool:
         """Tell whether an instance says that it takes callers."""
         port = self._instances[number][1]
@@ -142,6 +188,21 @@
             process.kill()
             process.wait()
 
+    def _start_proxy(self) -> None:
+        behind = {**self._targets}
+        words = ['standins.proxy', '--control', str(self._proxy_port)]
+        for name, port in self._links.items():
+            end = behind.get(name, self._port)
+            words += ['--link', f'{name}={port}:127.0.0.1:{end}']
+        self._run('proxy', words, {})
+        self._wait(lambda: self._send_rules() or True)
+
+    def _send_rules(self) -> None:
+        address = ('127.0.0.1', self._proxy_port)
+        with socket.create_connection(address, timeout=2) as sock:
+            sock.sendall(json.dumps(self._rules).encode() + b'\n')
+            sock.recv(16)
+
     def _run(self, name: str, module: list[str], env: dict) -> None:
         with open(self._directory / f'{name}.log', 'ab') as output:
             self._processes[name] = subprocess.Popen(
@@ -206,14 +267,14 @@
         """Connect and introduce itself."""
         self._sock = socket.create_connection(('127.0.0.1', port), timeout=5)
         self._stream = self._sock.makefile('rb')
-        self._number = 0
+        self.last_ident = ''
         self._sock.sendall(f'STARTUP {database} {key}\r\n'.encode())
         self.greeting = self._read_line()
 
     def ask(self, text: str) -> tuple[str, ...]:
         """Run a statement and return the lines of its answer."""
-        self._number += 1
-        ident = f'{self._sock.getsockname()[1]:x}{self._number:04x}'
+        ident = secrets.token_hex(8)
+        self.last_ident = ident
         self._sock.sendall(f'QUERY {ident} {text}\r\n'.encode())
         lines = [self._read_line()]
         while lines[-1] and not lines[-1].startswith('READY'):
--- a/standins/platform/group.py
+++ b/standins/platform/group.py
@@ -64,3 +64,17 @@
                 other.term = term
         copy.is_primary = True
         return True
+
+    def revive(self, ident: str) -> None:
+        """Let a copy come back with its log; it follows a later leader."""
+        copy = self.copies[ident]
+        leaders = [
+            one
+            for one in self.copies.values()
+            if one.is_primary and one is not copy and one.term > copy.term
+        ]
+        if leaders:
+            copy.is_primary = False
+            copy.term = leaders[0].term
+            copy.log = list(leaders[0].log)
+        copy.is_up = True
