Gave a target up after two silent gateways

Change: a gateway that is silent, not refused or shutting down, counts for its target; the second one in 2 s gives the target up for a while.

--- a/comfreystair/gateways/relay.py
+++ b/comfreystair/gateways/relay.py
@@ -9,7 +9,13 @@
 from comfreystair.gateways.book import GatewayBook
 from comfreystair.gateways.structures import pack_work, unpack_outcome
 from comfreystair.observability.decisions import DecisionLog
-from comfreystair.peers import PeerClients, PeerError, PeerUnreachedError
+from comfreystair.peers import (
+    PeerClients,
+    PeerError,
+    PeerRefusedError,
+    PeerSilentError,
+    PeerUnreachedError,
+)
 from comfreystair.peers.messages import definitions
 from comfreystair.pooling.members import TargetEntry
 from comfreystair.pooling.work import LocalWork, Outcome, Trouble, Work, miss
@@ -19,6 +25,8 @@
 _WAY_SECONDS: Final = 0.02
 _LEAST_SECONDS: Final = 0.03
 _END_SECONDS: Final = 0.5
+_GONE: Final = frozenset((Trouble.away, Trouble.silent))
+_DOUBTFUL: Final = frozenset((Trouble.lost, Trouble.silent))
 
 
 class Pinned(NamedTuple):
@@ -74,7 +82,7 @@
             return outcome, pinned
         request = pack_work(_shorten(work), entry.ident, handle)
         outcome = await self._ask(gateway, 'begin', request, work.seconds)
-        if outcome.trouble is Trouble.away and outcome.is_sent:
+        if outcome.trouble in _GONE and outcome.is_sent:
             # It may be open there by now, and nobody would use it.
             await self.end(pinned)
         return self._note(gateway, entry, outcome), pinned
@@ -128,8 +136,11 @@
                 definitions.WorkOutcome,
                 max(seconds, _LEAST_SECONDS),
             )
-        except PeerUnreachedError as error:
+        except PeerRefusedError as error:
             return miss(Trouble.away, str(error))
+        except (PeerUnreachedError, PeerSilentError) as error:
+            is_sent = isinstance(error, PeerSilentError)
+            return miss(Trouble.silent, str(error), is_sent)
         except PeerError as error:
             return miss(Trouble.away, str(error), is_sent=True)
         return unpack_outcome(sent)
@@ -139,9 +150,11 @@
     ) -> Outcome:
         """Learn from an outcome which gateways to leave alone.
 
-        One gateway alone can't tell a lost target from its own lost way.
+        One gateway alone can't tell a lost target from its own lost way, nor
+        its silence a cut zone from its own.
         """
-        if outcome.trouble is Trouble.away:
+        trouble = outcome.trouble
+        if trouble in _GONE:
             self._book.avoid(gateway)
             self._log.write(
                 'gateway_avoided',
@@ -150,10 +163,12 @@
                 why=outcome.reason,
                 is_sent=outcome.is_sent,
             )
-        elif outcome.trouble is Trouble.lost:
-            if not self._book.avoid_for(gateway, entry.ident):
-                return outcome._replace(trouble=Trouble.away)
-        return outcome
+        if trouble not in _DOUBTFUL:
+            return outcome
+        is_lost = self._book.avoid_for(gateway, entry.ident)
+        return outcome._replace(
+            trouble=Trouble.lost if is_lost else Trouble.away
+        )
 
 
 def _shorten(work: Work) -> Work:
--- a/comfreystair/peers/__init__.py
+++ b/comfreystair/peers/__init__.py
@@ -4,6 +4,7 @@
 from comfreystair.peers.exceptions import (
     PeerError,
     PeerRefusedError,
+    PeerSilentError,
     PeerUnreachedError,
 )
 from comfreystair.peers.server import PeerServer
@@ -13,5 +14,6 @@
     'PeerError',
     'PeerRefusedError',
     'PeerServer',
+    'PeerSilentError',
     'PeerUnreachedError',
 )
--- a/comfreystair/peers/client.py
+++ b/comfreystair/peers/client.py
@@ -13,6 +13,7 @@
 from comfreystair.peers.exceptions import (
     PeerError,
     PeerRefusedError,
+    PeerSilentError,
     PeerUnreachedError,
 )
 from comfreystair.peers.messages import definitions
@@ -110,7 +111,7 @@
             return PeerUnreachedError('no connection', method, address)
         if isinstance(error, curio.TaskTimeout):
             await self._drop_silent(address)
-            return PeerError('no answer in time', method, address)
+            return PeerSilentError('no answer in time', method, address)
         return PeerError(str(error), method, address)
 
     async def _find_channel(self, address: str) -> '_Channel':
--- a/comfreystair/peers/exceptions.py
+++ b/comfreystair/peers/exceptions.py
@@ -7,6 +7,10 @@
     """Another daemon did not answer, or answered with an error."""
 
 
+class PeerSilentError(PeerError):
+    """A call was sent and nothing came back in time."""
+
+
 class PeerUnreachedError(PeerError):
     """No connection could be made, so nothing was sent."""
 
--- a/comfreystair/pooling/work.py
+++ b/comfreystair/pooling/work.py
@@ -43,7 +43,8 @@
 
     ``full``: no turn or connection in time. ``refused``: the target refused a
     connection. ``lost``: the target did not answer. ``away``: the instance
-    that has the connections could not be asked, or does not help.
+    that has the connections could not be asked, or does not help. ``silent``:
+    it did not answer, as when its whole zone is cut off.
     """
 
     none = enum.auto()
@@ -51,6 +52,7 @@
     refused = enum.auto()
     lost = enum.auto()
     away = enum.auto()
+    silent = enum.auto()
 
 
 class Work(NamedTuple):
--- a/tests/coordination/fakes.py
+++ b/tests/coordination/fakes.py
@@ -4,7 +4,7 @@
 
 from comfreystair.coordination.records import Committed, Conflict, Item
 from comfreystair.exceptions import ComfreystairError
-from comfreystair.peers import PeerError
+from comfreystair.peers import PeerSilentError
 
 
 class FakeLog:
@@ -108,5 +108,5 @@
         """Call a method."""
         handle = self.methods.get((address, method))
         if handle is None or address in self.unreachable:
-            raise PeerError('no answer in time', method, address)
+            raise PeerSilentError('no answer in time', method, address)
         return await handle(body)
--- a/tests/gateways/test_relay.py
+++ b/tests/gateways/test_relay.py
@@ -82,6 +82,19 @@
 
         self.assertEqual(self.play(call), (Trouble.away, Trouble.lost))
 
+    def test_cut_zone_loses_its_targets(self) -> None:
+        """After two silent gateways the target itself is given up."""
+
+        async def call():
+            reachable = self.fleet.records[self.caller].address
+            addresses = {one.address for one in self.fleet.records.values()}
+            self.fleet.peers.unreachable = addresses - {reachable}
+            first = await self.relay.run(ENTRY, build_work(ORGANISATION))
+            second = await self.relay.run(ENTRY, build_work(ORGANISATION))
+            return first.trouble, second.trouble
+
+        self.assertEqual(self.play(call), (Trouble.away, Trouble.lost))
+
     def test_transaction_stays_on_its_connection(self) -> None:
         """Through its commit; the connection is used again."""
 
