--- a/comfreystair/controllers/seats.py
+++ b/comfreystair/controllers/seats.py
@@ -64,10 +64,6 @@
         """Return connections that work or are being opened."""
         return self._held
 
-    def has_resting(self, organisation: str) -> bool:
-        """Tell whether a connection of an organisation rests."""
-        return any(seat.organisation == organisation for seat in self._resting)
-
     def set_limit(self, limit: int) -> list[Seat]:
         """Change the bound and return what must be closed."""
         self._limit = limit
--- a/comfreystair/pooling/pool.py
+++ b/comfreystair/pooling/pool.py
@@ -83,10 +83,6 @@
         """Return requests that wait for a connection."""
         return len(self._waiters)
 
-    def has_resting(self, organisation: str) -> bool:
-        """Tell whether a connection of an organisation rests."""
-        return self._seats.has_resting(organisation)
-
     async def set_limit(self, limit: int) -> None:
         """Change how many connections may be held."""
         for seat in self._seats.set_limit(limit):
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -1,5 +1,6 @@
 """Play one seed: faults on a deployment, callers on top, then the checks."""
 
+import functools
 import pathlib
 import signal
 import tempfile
@@ -117,17 +118,11 @@
         deployment.signal(number, signal.SIGCONT)
 
 
-def _kill(deployment: Deployment, number: int, seconds: float) -> None:
+def _restart(
+    deployment: Deployment, number: int, seconds: float, ending: int
+) -> None:
     with deployment.hold_instance(number):
-        deployment.signal(number, signal.SIGKILL)
-        deployment.wait_for_end(number, _END_SECONDS)
-        time.sleep(seconds)
-        deployment.start_instance(number)
-
-
-def _terminate(deployment: Deployment, number: int, seconds: float) -> None:
-    with deployment.hold_instance(number):
-        deployment.signal(number, signal.SIGTERM)
+        deployment.signal(number, ending)
         deployment.wait_for_end(number, _END_SECONDS)
         time.sleep(seconds)
         deployment.start_instance(number)
@@ -135,8 +130,8 @@
 
 _SIGNALLED: Final[dict[str, Callable[[Deployment, int, float], None]]] = {
     'pause': _pause,
-    'kill': _kill,
-    'terminate': _terminate,
+    'kill': functools.partial(_restart, ending=signal.SIGKILL),
+    'terminate': functools.partial(_restart, ending=signal.SIGTERM),
 }
 
 
