Chose the soak's ports below those of outgoing connections

Change: both stand-ins choose ports by one function, below that range; a deployment that does not start shows the end of each process's output.

--- a/standins/platform/deployment.py
+++ b/standins/platform/deployment.py
@@ -1,6 +1,5 @@
 """Start the stand-in platform and entry instances as processes."""
 
-import contextlib
 import json
 import os
 import pathlib
@@ -13,21 +12,16 @@
 import urllib.request
 from typing import Final
 
+from standins.cluster import find_ports
+
 ZONE: Final = 'lima-a'
 GROUP: Final = 'permits'
 TARGETS: Final = ('t-one', 't-two', 't-three')
 KEY: Final = 'key-of-blue'
 ORGANISATION: Final = 'blue'
 _START_SECONDS: Final = 15.0
-
-
-def find_ports(count: int) -> list[int]:
-    """Return ports of the loopback interface that nobody listens on."""
-    with contextlib.ExitStack() as stack:
-        socks = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for sock in socks:
-            sock.bind(('127.0.0.1', 0))
-        return [sock.getsockname()[1] for sock in socks]
+# Output of each process that a failed start shows.
+_TAIL_CHARACTERS: Final = 500
 
 
 class Deployment:
@@ -212,6 +206,13 @@
                 stderr=output,
             )
 
+    def _read_tails(self) -> str:
+        """Return the end of every process's output, to explain a failure."""
+        return '\n'.join(
+            f'{path.name}: {path.read_text()[-_TAIL_CHARACTERS:]}'
+            for path in sorted(self._directory.glob('*.log'))
+        )
+
     def _wait(self, attempt) -> None:
         give_up_at = time.monotonic() + _START_SECONDS
         while True:
@@ -220,7 +221,7 @@
                     return
             except OSError:
                 if time.monotonic() > give_up_at:
-                    raise
+                    raise TimeoutError(self._read_tails()) from None
             time.sleep(0.05)
 
 
