--- a/comfreystair/coordination/pulse.py
+++ b/comfreystair/coordination/pulse.py
@@ -83,7 +83,12 @@
         await self._wake.set()
 
     async def leave(self) -> None:
-        """Tell the others that this instance is shutting down."""
+        """Tell the others that this instance is shutting down.
+
+        Without a registration there is no lease that a record would end with.
+        """
+        if not self._own_revision:
+            return
         own = msgspec.structs.replace(self._state.own, is_leaving=True)
         outcome = await self._store.change(
             {self._own_key: self._own_revision},
