Called what the project already had, and derived what need not be kept

From the last reading of the change: the ranking of gateways was a second copy of rank_members; the rest of a statement's time was worked out twice, a target's limit looked up twice; the version of packed lists was kept where the listing can say that it changed; a comment spoke of connections that are no longer split. No behaviour is changed, tests keep their assertions.

--- a/comfreystair/controllers/gateways.py
+++ b/comfreystair/controllers/gateways.py
@@ -33,13 +33,6 @@
     return min(max(wanted, 1), _MOST_GATEWAYS)
 
 
-def rank_gateways(target: str, names: Iterable[str]) -> tuple[str, ...]:
-    """Return the instances in the order in which they become gateways."""
-    return tuple(
-        sorted(names, key=lambda name: hash_member(target, name), reverse=True)
-    )
-
-
 def choose_gateway(organisation: str, gateways: Iterable[str]) -> str:
     """Return the gateway that has an organisation's connections.
 
--- a/comfreystair/controllers/listings.py
+++ b/comfreystair/controllers/listings.py
@@ -36,8 +36,8 @@
         """Return the newest version."""
         return self._version
 
-    def update(self, content: dict[str, Hashable]) -> None:
-        """Take in the list as it is now.
+    def update(self, content: dict[str, Hashable]) -> bool:
+        """Take in the list as it is now; tell whether it has changed.
 
         :param content: by key what counts as a change where it differs.
         """
@@ -49,7 +49,7 @@
         ]
         lost = known.keys() - content.keys()
         if not news and not lost:
-            return
+            return False
         self._version += 1
         for key in news:
             self._changed[key] = self._version
@@ -59,6 +59,7 @@
             self._gone[key] = self._version
         self._content = dict(content)
         self._forget()
+        return True
 
     def find_changes(self, since: int) -> Changes:
         """Return what changed after a version."""
--- a/comfreystair/coordination/directory.py
+++ b/comfreystair/coordination/directory.py
@@ -41,8 +41,9 @@
 # in seconds: entries that lapsed with the store are back after two.
 _GONE_SECONDS: Final = 3.0
 
-# An instance that is no longer listed keeps its part of the connections this
-# long, in seconds: it may only have been unable to renew its registration.
+# An instance that is no longer listed is remembered this long, in seconds: it
+# may only have been unable to renew its registration, and must still be told
+# of changes of primary.
 _REMEMBERED_SECONDS: Final = 30.0
 # Lists taken over from another instance may be this old, in seconds.
 _MOST_AGE_SECONDS: Final = 1.5
@@ -82,7 +83,6 @@
         self._source = ''
         self._source_version = 0
         self._packed: dict[int, bytes] = {}
-        self._packed_version = 0
         self._missing_since: dict[str, float] = {}
 
     async def run(self, changed: Changed) -> None:
@@ -114,9 +114,6 @@
 
     def _pack(self, since: int, keys: tuple[str, ...]) -> bytes:
         """Return items as they are sent, packed once for all that ask."""
-        if self._packed_version != self._listing.version:
-            self._packed_version = self._listing.version
-            self._packed.clear()
         packed = self._packed.get(since)
         if packed is None:
             listed = [
@@ -193,14 +190,14 @@
         }
         entries = self._parse_targets(targets)
         self._items = items
-        self._listing.update(
-            {
-                key: entries.get(key.removeprefix(self._targets_prefix))
-                if key in targets
-                else item.blob
-                for key, item in items.items()
-            }
-        )
+        shown = {
+            key: entries.get(key.removeprefix(self._targets_prefix))
+            if key in targets
+            else item.blob
+            for key, item in items.items()
+        }
+        if self._listing.update(shown):
+            self._packed.clear()
         self._take_targets(entries, now)
         self._take_records(items, now)
         self._state.lists_read_at = read_at
--- a/comfreystair/gateways/book.py
+++ b/comfreystair/gateways/book.py
@@ -7,8 +7,8 @@
     choose_gateway,
     count_gateways,
     find_limit,
-    rank_gateways,
 )
+from comfreystair.controllers.membership import rank_members
 from comfreystair.coordination.records import InstanceRecord
 from comfreystair.coordination.state import FleetState
 from comfreystair.peers import PeerClients
@@ -31,7 +31,7 @@
     """
 
     source: dict[str, InstanceRecord]
-    names: tuple[str, ...]
+    names: list[str]
 
 
 class GatewayBook:
@@ -64,9 +64,7 @@
 
     def find_limit(self, entry: TargetEntry) -> int:
         """Return the connections to a target that this instance may hold."""
-        plan = self._state.plan
-        connections = plan.connections.get(entry.group, 0) if plan else 0
-        return find_limit(connections)
+        return find_limit(self._find_connections(entry))
 
     def is_gateway(self, entry: TargetEntry) -> bool:
         """Tell whether this instance is one of a target's gateways."""
@@ -104,17 +102,20 @@
         return not self._peers.is_stalled(gateway.address, _STALL_SECONDS)
 
     def _count(self, entry: TargetEntry) -> int:
+        return count_gateways(self._find_connections(entry))
+
+    def _find_connections(self, entry: TargetEntry) -> int:
+        """Return the limit of a target over the whole fleet."""
         plan = self._state.plan
-        connections = plan.connections.get(entry.group, 0) if plan else 0
-        return count_gateways(connections)
+        return plan.connections.get(entry.group, 0) if plan else 0
 
-    def _rank(self, entry: TargetEntry) -> tuple[str, ...]:
+    def _rank(self, entry: TargetEntry) -> list[str]:
         instances = self._state.instances
         known = self._rankings.get(entry.ident)
         if known is None or known.source is not instances:
             names = [
                 one.name for one in instances.values() if one.zone == entry.zone
             ]
-            known = _Ranking(instances, rank_gateways(entry.ident, names))
+            known = _Ranking(instances, rank_members(entry.ident, names))
             self._rankings[entry.ident] = known
         return known.names
--- a/comfreystair/pooling/work.py
+++ b/comfreystair/pooling/work.py
@@ -218,9 +218,9 @@
             return taken
         has_begun = False
         try:
-            await align(taken, work.values, _find_rest(deadline))
+            await align(taken, work.values, find_rest(deadline))
             answer = await taken.connection.begin(
-                is_read_only, work.floor, _find_rest(deadline)
+                is_read_only, work.floor, find_rest(deadline)
             )
             has_begun = answer.failure is None and handle in self._opening
         except TargetLostError as error:
@@ -238,7 +238,7 @@
         gate = pinned.pool.gate
         deadline = read_clock() + work.seconds
         while True:
-            rest = _find_rest(deadline)
+            rest = find_rest(deadline)
             try:
                 await gate.enter(work.organisation, _URGENT, rest)
             except PoolError as error:
@@ -276,7 +276,7 @@
 
 
 async def _run_single(pool: TargetPool, work: Work, deadline: float) -> Outcome:
-    taken = await _take(pool, work, _find_rest(deadline))
+    taken = await _take(pool, work, find_rest(deadline))
     if isinstance(taken, Outcome):
         return taken
     is_whole = False
@@ -314,12 +314,12 @@
     is_sent = False
     name = ''
     try:
-        await align(pooled, work.values, _find_rest(deadline))
+        await align(pooled, work.values, find_rest(deadline))
         if work.prepared is not None:
-            name = await find_name(pooled, work.prepared, _find_rest(deadline))
+            name = await find_name(pooled, work.prepared, find_rest(deadline))
         is_sent = True
         answer = await pooled.connection.forward(
-            work.statement, work.floor, name, _find_rest(deadline)
+            work.statement, work.floor, name, find_rest(deadline)
         )
     except TargetLostError as error:
         return miss(Trouble.lost, str(error), is_sent)
@@ -336,6 +336,6 @@
     return _is_shed(sent) and not (sent.answer.is_aborted or is_late)
 
 
-def _find_rest(deadline: float) -> float:
+def find_rest(deadline: float) -> float:
     """Return the time that is left, in seconds; a little when there is none."""
     return max(deadline - read_clock(), _LEAST_SECONDS)
--- a/comfreystair/sessions/transactions.py
+++ b/comfreystair/sessions/transactions.py
@@ -1,12 +1,10 @@
 """Run transactions, each on one connection from its first statement on."""
 
-from typing import Final
-
 from comfreystair.clocks import read_clock
 from comfreystair.coordination.state import FleetState
 from comfreystair.gateways import Relay
 from comfreystair.manifest.serving import Consistency
-from comfreystair.pooling.work import Outcome, Trouble, Work
+from comfreystair.pooling.work import Outcome, Trouble, Work, find_rest
 from comfreystair.sessions.attempts import (
     MOST_ATTEMPTS,
     NOT_SERVED,
@@ -26,8 +24,6 @@
     fail,
 )
 
-_LEAST_SECONDS: Final = 0.01
-
 
 class Transactions:
     """Begin, run and end callers' transactions at targets."""
@@ -156,7 +152,7 @@
         :param lost: what a missing answer means; the transaction is over.
         """
         pinned = transaction.pinned
-        rest = max(deadline - read_clock(), _LEAST_SECONDS)
+        rest = find_rest(deadline)
         outcome = await self._relay.run_pinned(
             pinned, work._replace(seconds=rest, patience=rest)
         )
--- a/standins/platform/deployment.py
+++ b/standins/platform/deployment.py
@@ -183,10 +183,9 @@
             process.wait()
 
     def _start_proxy(self) -> None:
-        behind = {**self._targets}
         words = ['standins.proxy', '--control', str(self._proxy_port)]
         for name, port in self._links.items():
-            end = behind.get(name, self._port)
+            end = self._targets.get(name, self._port)
             words += ['--link', f'{name}={port}:127.0.0.1:{end}']
         self._run('proxy', words, {})
         self._wait(lambda: self._send_rules() or True)
--- a/tests/controllers/test_gateways.py
+++ b/tests/controllers/test_gateways.py
@@ -6,8 +6,8 @@
     choose_gateway,
     count_gateways,
     find_limit,
-    rank_gateways,
 )
+from comfreystair.controllers.membership import rank_members
 
 NAMES = tuple(f'entry-{number}' for number in range(48))
 
@@ -24,7 +24,7 @@
 
     def test_gateway_that_goes_moves_nobody_else(self) -> None:
         """Organisations of the others stay where their connections are."""
-        ranked = rank_gateways('t', NAMES)
+        ranked = rank_members('t', NAMES)
         before, after = ranked[:4], ranked[1:5]
         for number in range(100):
             organisation = f'office-{number}'
@@ -35,8 +35,8 @@
     def test_order_does_not_depend_on_the_list(self) -> None:
         """Two instances with differently ordered lists agree."""
         self.assertEqual(
-            rank_gateways('t', NAMES),
-            rank_gateways('t', tuple(reversed(NAMES))),
+            rank_members('t', NAMES),
+            rank_members('t', tuple(reversed(NAMES))),
         )
 
     def test_nobody_is_chosen_of_none(self) -> None:
