Replace a primary sooner when its whole zone is silent

Now a failure counts from when its request was sent; groups with a primary in doubt are queried at the same time; the first three ranks are told of it; an announced failover is left to its holder until the lease has expired; the old primary is demoted during the wait. An instance of a fleet with several zones needs a contact not older than 1.5 s: a read of the store, or an instance of another zone that confirms the record. When all silent instances are of one zone the failover waits for contacts only. specs/contacts.py has the protocol; without contacts, or with contacts after a confirmation, it is refuted. Registrations say whether an instance needs contact, so a failover waits for all proofs when an older build is silent.

Ruled out: a shorter validity of proofs (stops writes sooner in each outage of the store); a demotion as proof (a demoted target still answers reads); asking replicas before the wait ends (could promote one that lacks late commits).

An inquiry about a primary that had never answered raised OverflowError; the time is limited now, with a test that failed first.

--- a/comfreystair/controllers/primary_tracking.py
+++ b/comfreystair/controllers/primary_tracking.py
@@ -7,6 +7,11 @@
 may therefore use a primary while its proof is younger than
 :data:`PROOF_TTL_SECONDS`, and may report an answer as a success if the proof
 is still that young when the answer arrives.
+
+In a fleet of several availability zones an instance also needs contact: a read
+of the store, or an instance of another zone that confirmed the record, within
+:data:`CONTACT_TTL_SECONDS`. An instance that is cut off with its whole zone
+therefore stops sooner than one that only lost the store.
 """
 
 import collections
@@ -17,6 +22,9 @@
 # Validity of a proof. A longer one survives longer outages of the store, a
 # shorter one speeds up a failover while an instance can't be reached.
 PROOF_TTL_SECONDS: Final = 3.0
+# Validity of a contact. It exceeds twice the interval at which proofs are
+# refreshed, so that in a healthy zone it seldom needs other zones.
+CONTACT_TTL_SECONDS: Final = 1.5
 # Position samples are kept at most every 50 ms.
 _SAMPLE_INTERVAL_SECONDS: Final = 0.05
 _MAX_SAMPLES: Final = 128
@@ -51,10 +59,15 @@
 class PrimaryTracker:
     """One instance's knowledge of one group's primary."""
 
-    def __init__(self) -> None:
-        """Start with no known primary, no proof and no samples."""
+    def __init__(self, needs_contact: bool = False) -> None:
+        """Start with no known primary, no proof and no samples.
+
+        :param needs_contact: the primary is used only after a recent contact.
+        """
+        self._needs_contact = needs_contact
         self._record = PrimaryRecord()
         self._proved_at = float('-inf')
+        self._contact_at = float('-inf')
         self._fenced_revision = 0
         self._samples: collections.deque[PositionSample] = collections.deque(
             maxlen=_MAX_SAMPLES
@@ -72,6 +85,27 @@
         """
         return now - self._proved_at
 
+    def find_contact_age(self, now: float) -> float:
+        """Return the age of the newest contact, in seconds."""
+        return now - max(self._contact_at, self._proved_at)
+
+    def record_contact(self, revision: int, asked_at: float) -> None:
+        """Record that another availability zone confirmed a record.
+
+        :param revision: of the record that it confirmed.
+        :param asked_at: when it was asked.
+        """
+        if revision == self._record.revision:
+            self._contact_at = max(self._contact_at, asked_at)
+
+    def confirms(self, revision: int, now: float) -> bool:
+        """Tell whether the primary of a record is in use here.
+
+        :param revision: of the record as another instance knows it.
+        """
+        is_same = revision == self._record.revision
+        return is_same and bool(self.find_primary(now))
+
     def update(self, record: PrimaryRecord, asked_at: float) -> bool:
         """Store a record and its proof, unless a newer record is known.
 
@@ -88,6 +122,10 @@
         if is_newer and record.primary != self._record.primary:
             self._samples.clear()
             self._proved_at = float('-inf')
+        if is_newer and not record.is_changing:
+            # A contact confirms one record only. While the primary changes,
+            # the last contact still counts for answers under way.
+            self._contact_at = float('-inf')
         self._record = record
         if not record.is_changing:
             self._proved_at = max(self._proved_at, asked_at)
@@ -100,15 +138,13 @@
     def find_primary(self, now: float) -> str:
         """Return the target that may be used as primary now; empty for none.
 
-        There is none while the primary is being replaced, fenced or not proved
-        within :data:`PROOF_TTL_SECONDS`.
+        There is none while the primary is being replaced, fenced, not proved
+        within :data:`PROOF_TTL_SECONDS` or without a recent contact.
         """
         record = self._record
         if record.is_changing or self._fenced_revision > record.revision:
             return ''
-        if self.find_proof_age(now) > PROOF_TTL_SECONDS:
-            return ''
-        return record.primary
+        return record.primary if self._is_proved(now) else ''
 
     def may_acknowledge(self, primary: str, now: float) -> bool:
         """Tell whether a target's answer may be reported as a success.
@@ -120,7 +156,7 @@
         return (
             primary == self._record.primary
             and self._fenced_revision < self._record.revision
-            and self.find_proof_age(now) <= PROOF_TTL_SECONDS
+            and self._is_proved(now)
         )
 
     def add_sample(self, asked_at: float, position: Position) -> None:
@@ -143,3 +179,9 @@
             if sample.asked_at >= since:
                 return sample
         return None
+
+    def _is_proved(self, now: float) -> bool:
+        if self.find_proof_age(now) > PROOF_TTL_SECONDS:
+            return False
+        is_in_contact = self.find_contact_age(now) <= CONTACT_TTL_SECONDS
+        return is_in_contact or not self._needs_contact
--- a/comfreystair/coordination/failover.py
+++ b/comfreystair/coordination/failover.py
@@ -5,15 +5,16 @@
 
 1. Mark the group's record as changing.
 2. Make every instance stop using the old primary. If an instance does not
-   confirm, wait until every proof from before the announcement has expired.
-3. Demote the old primary if it can be reached.
+   confirm, wait until its proof from before the announcement has expired, or
+   its contact with other zones if that is sooner.
+3. Demote the old primary meanwhile, if it can be reached.
 4. Wait for a limited time until a successor has received the old primary's
    log.
 5. Promote the successor.
 6. Write the new record and publish it to all instances.
 """
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Final, NamedTuple
 
 import curio
@@ -27,17 +28,22 @@
     has_caught_up,
 )
 from comfreystair.controllers.primary_tracking import (
+    CONTACT_TTL_SECONDS,
     PROOF_TTL_SECONDS,
     PrimaryRecord,
 )
 from comfreystair.coordination.exceptions import FailoverError
-from comfreystair.coordination.failover_notices import FailoverNotices
+from comfreystair.coordination.failover_notices import (
+    Broadcast,
+    FailoverNotices,
+)
 from comfreystair.coordination.records import (
     FAILOVER_LEASES_PREFIX,
     GROUPS_PREFIX,
     INSTANCES_PREFIX,
     Committed,
     GroupRecord,
+    InstanceRecord,
     StoreClient,
     decode_instance,
     decode_primary_record,
@@ -53,7 +59,7 @@
 # the failover lease or has changed the record.
 STEP_ANNOUNCE: Final = 'announce'
 # TTL of the failover lease. It is renewed once, before the promotion.
-_LEASE_TTL_SECONDS: Final = 5.0
+LEASE_TTL_SECONDS: Final = 5.0
 # Time that must remain on the lease when a call to the store or a target
 # starts, so that the call ends before the lease expires.
 _LEASE_MARGIN_SECONDS: Final = 1.2
@@ -130,10 +136,10 @@
         :raises ComfreystairError: its ``step`` names the step that failed.
         """
         failover = await self._announce(name, reason, is_planned)
+        log_end = None
         if failover.old_record.primary:
-            await self._stop_use_of_old_primary(failover)
+            log_end = await self._stop_use_of_old_primary(failover)
             failover = await self._renew_lease(failover)
-        log_end = await self._demote_old_primary(failover)
         primary, term = await self._find_or_promote(failover, log_end)
         record = await self._write_record(failover, primary, term)
         await self._notices.publish(name, record)
@@ -154,7 +160,7 @@
         """
         old_record = self._state.find_group(name).primary_tracker.record
         asked_at = read_clock()
-        lease = await self._store.grant_lease(_LEASE_TTL_SECONDS)
+        lease = await self._store.grant_lease(LEASE_TTL_SECONDS)
         lease_key, key = (
             f'{FAILOVER_LEASES_PREFIX}{name}',
             f'{GROUPS_PREFIX}{name}',
@@ -185,7 +191,7 @@
             term=old_record.term,
             token=outcome.revision,
         )
-        lease_ends_at = asked_at + _LEASE_TTL_SECONDS
+        lease_ends_at = asked_at + LEASE_TTL_SECONDS
         return Failover(
             name,
             old_record,
@@ -206,46 +212,77 @@
         )
         if not is_renewed:
             raise FailoverError('the failover lease has expired', 'extend')
-        return failover._replace(lease_ends_at=asked_at + _LEASE_TTL_SECONDS)
+        return failover._replace(lease_ends_at=asked_at + LEASE_TTL_SECONDS)
 
-    async def _stop_use_of_old_primary(self, failover: Failover) -> None:
-        """Wait until no instance uses the old primary any more.
+    async def _stop_use_of_old_primary(
+        self, failover: Failover
+    ) -> Position | None:
+        """Wait until no instance uses the old primary any more, and demote it.
 
-        When an instance did not confirm, every proof from before the
-        announcement must expire first. The same applies while this instance
-        has not run for twice the validity of a proof: until then it may not
-        know all instances that were listed within that time.
+        It is demoted while the proofs of silent instances expire.
+
+        :returns: the end of its log, or nothing when it did not answer.
         """
         announced_at = read_clock()
-        addresses = await self._list_recipients(failover, announced_at)
+        recipients = await self._list_recipients(failover, announced_at)
         record = failover.old_record._replace(
             is_changing=True, revision=failover.fencing_token
         )
-        unconfirmed = await self._notices.broadcast(
-            failover.group, record, addresses
-        )
-        is_recently_started = (
-            announced_at - self._started_at < 2 * PROOF_TTL_SECONDS
+        broadcast = await self._notices.broadcast(
+            failover.group, record, set(recipients)
         )
+        demotion = await curio.spawn(self._demote_old_primary, failover)
+        validity = self._find_validity(announced_at, broadcast, recipients)
         waited = 0.0
-        if unconfirmed or is_recently_started:
-            expires_at = (
-                announced_at + PROOF_TTL_SECONDS + _PROOF_MARGIN_SECONDS
-            )
-            waited = max(expires_at - read_clock(), 0)
-            await curio.sleep(waited)
+        if validity:
+            is_contact = validity == CONTACT_TTL_SECONDS
+            since = broadcast.confirmed_at if is_contact else announced_at
+            waited = _find_wait(since + validity)
+        await curio.sleep(waited)
         self._log.write(
             'change_stopped_all',
             group=failover.group,
-            instances=len(addresses),
-            silent=','.join(unconfirmed),
+            instances=len(recipients),
+            silent=','.join(broadcast.unconfirmed),
+            validity=validity,
             waited=waited,
         )
+        return await demotion.join()
+
+    def _find_validity(
+        self,
+        announced_at: float,
+        broadcast: Broadcast,
+        recipients: dict[str, InstanceRecord],
+    ) -> float:
+        """Return how long an instance may go on using the old primary.
+
+        When an instance did not confirm, every proof from before the
+        announcement must expire first. The same applies while this instance
+        has not run for twice the validity of a proof: until then it may not
+        know all instances that were listed within that time.
+
+        Silent instances of a single zone stop sooner: they need a contact, and
+        no instance of another zone gives them one after it has confirmed the
+        announcement.
+
+        :returns: seconds, from the announcement for proofs and from the last
+            confirmation for contacts; 0 when all instances have stopped.
+        """
+        is_recently_started = (
+            announced_at - self._started_at < 2 * PROOF_TTL_SECONDS
+        )
+        if not broadcast.unconfirmed and not is_recently_started:
+            return 0
+        silent = [recipients.get(one) for one in broadcast.unconfirmed]
+        if not is_recently_started and needs_contact_of_other_zones(silent):
+            return CONTACT_TTL_SECONDS
+        return PROOF_TTL_SECONDS
 
     async def _list_recipients(
         self, failover: Failover, announced_at: float
-    ) -> set[str]:
-        """Return the addresses of the other instances to tell of a failover.
+    ) -> dict[str, InstanceRecord]:
+        """Return the other instances to tell of a failover, by address.
 
         These are the instances that may hold a proof from before the
         announcement. Instances that were listed within twice the validity of a
@@ -263,8 +300,11 @@
             for record, seen_at in self._state.recently_listed.values()
             if seen_at > oldest
         ]
-        known = {one.address for one in (*listed, *recent) if one is not None}
-        return known - {self._state.own.address}
+        known = {
+            one.address: one for one in (*recent, *listed) if one is not None
+        }
+        known.pop(self._state.own.address, None)
+        return known
 
     async def _demote_old_primary(self, failover: Failover) -> Position | None:
         """Demote the old primary.
@@ -422,6 +462,25 @@
             await curio.sleep(_POLL_INTERVAL_SECONDS)
 
 
+def needs_contact_of_other_zones(
+    silent: Iterable[InstanceRecord | None],
+) -> bool:
+    """Tell whether silent instances can only be in contact with others.
+
+    They can't confirm a primary to each other if all are of one zone. An
+    instance without a record may be of any zone and any version.
+    """
+    records = list(silent)
+    if not all(one is not None and one.needs_contact for one in records):
+        return False
+    return len({one.zone for one in records}) == 1
+
+
+def _find_wait(expires_at: float) -> float:
+    """Return how long to wait until a proof has certainly expired."""
+    return max(expires_at + _PROOF_MARGIN_SECONDS - read_clock(), 0)
+
+
 def _is_promoted(
     report: TargetReport | None, successor: ReplicationStatus, old_term: int
 ) -> bool:
--- a/comfreystair/coordination/failover_notices.py
+++ b/comfreystair/coordination/failover_notices.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Awaitable, Callable
-from typing import Final
+from typing import Final, NamedTuple
 
 import curio
 
@@ -15,6 +15,7 @@
 from comfreystair.coordination.concurrency import run_concurrently
 from comfreystair.coordination.proofs import decode_notice, encode_notice
 from comfreystair.coordination.records import InstanceRecord
+from comfreystair.coordination.rendezvous import list_first
 from comfreystair.coordination.state import FleetState, GroupState
 from comfreystair.peers import PeerClients
 from comfreystair.peers.messages import definitions
@@ -29,12 +30,28 @@
 # request, has not used it. It does not count when instances are asked whether
 # the primary is reachable.
 _UNUSED_AFTER_SECONDS: Final = 1.0
+# How many instances are told of a primary that this one can't reach.
+_NOTIFIED_CANDIDATES: Final = 3
 _MILLISECONDS: Final = 1000
+# Reported instead of longer times, so that they fit into a message.
+_MAX_REPORTED_SECONDS: Final = 3600.0
 # Sent in place of the time since the primary's last answer by an instance that
 # has not used the primary, and in confirmations of notices.
 _UNKNOWN_TIME: Final = -1
 
 
+class Broadcast(NamedTuple):
+    """Outcome of a record's broadcast.
+
+    :param unconfirmed: addresses of the instances that did not confirm.
+    :param confirmed_at: when the last confirmation arrived, this instance's
+        own included.
+    """
+
+    unconfirmed: list[str]
+    confirmed_at: float
+
+
 class FailoverNotices:
     """Sends and answers notices about the primaries of groups."""
 
@@ -83,13 +100,53 @@
             group.unreachable_since is None
             and answer_age > _UNUSED_AFTER_SECONDS
         )
-        milliseconds = (
-            _UNKNOWN_TIME if is_unused else int(answer_age * _MILLISECONDS)
-        )
+        milliseconds = _UNKNOWN_TIME if is_unused else _encode_age(answer_age)
         return definitions.GroupConfirmation(
             incarnation=self._state.own.incarnation, heard_ms=milliseconds
         )
 
+    async def handle_unreachable(self, notice) -> object:
+        """Record that another instance can't reach a group's primary.
+
+        This only makes the monitor query the primary's status soon.
+        """
+        group = self._state.groups.get(notice.group)
+        if group is not None and (
+            notice.primary == group.primary_tracker.record.primary
+        ):
+            seconds = max(notice.unreachable_ms, 0) / _MILLISECONDS
+            group.record_failure(read_clock() - seconds)
+        return definitions.Empty()
+
+    async def report_unreachable(self, group: str) -> None:
+        """Tell the first-ranked instances of an unreachable primary.
+
+        Each instance of a large fleet seldom uses one group, so those that
+        start its failover would notice late.
+        """
+        found = self._state.find_group(group)
+        since = found.unreachable_since
+        if since is None:
+            return
+        notice = definitions.UnreachableNotice(
+            group=group,
+            primary=found.primary_tracker.record.primary,
+            unreachable_ms=_encode_age(read_clock() - since),
+        )
+
+        async def tell(name: str) -> None:
+            await self._peers.call(
+                self._state.instances[name].address,
+                'unreachable',
+                notice,
+                definitions.Empty,
+                _REQUEST_TIMEOUT_SECONDS,
+            )
+
+        own_name = self._state.own.name
+        names = list_first(group, self._state.instances, _NOTIFIED_CANDIDATES)
+        await run_concurrently(tell, [one for one in names if one != own_name])
+
     async def apply(self, name: str, record: PrimaryRecord) -> None:
         """Apply a group's record from a notice, which is not a proof.
 
@@ -108,7 +165,7 @@
 
     async def broadcast(
         self, group: str, record: PrimaryRecord, addresses: set[str]
-    ) -> list[str]:
+    ) -> Broadcast:
         """Send a record to instances, and to the followers that they name.
 
         This instance applies the record as well.
@@ -116,20 +173,21 @@
         :param group: name of the database group.
         :param record: the record to send.
         :param addresses: addresses of the instances to tell.
-        :returns: the addresses of the instances that did not confirm.
         """
-        own_task = await curio.spawn(self.apply, group, record)
+        own_task = await curio.spawn(self._apply_own, group, record)
         recipients = addresses | set(self._list_followers())
         notified = {self._state.own.address}
         unconfirmed: list[str] = []
+        confirmed_at = float('-inf')
         while recipients - notified:
             pending = recipients - notified
             notified |= pending
             answers = await self._send(group, record, pending)
             unconfirmed.extend(pending - answers.keys())
-            recipients.update(*answers.values())
-        await own_task.join()
-        return unconfirmed
+            for answer in answers.values():
+                recipients.update(answer.followers)
+                confirmed_at = max(confirmed_at, answer.received_at)
+        return Broadcast(unconfirmed, max(confirmed_at, await own_task.join()))
 
     async def publish(self, group: str, record: PrimaryRecord) -> None:
         """Send a record to all listed instances and their followers."""
@@ -163,15 +221,20 @@
         )
         return is_widely_unreachable(answer_ages)
 
+    async def _apply_own(self, group: str, record: PrimaryRecord) -> float:
+        """Apply a record here and return the time at which it was done."""
+        await self.apply(group, record)
+        return read_clock()
+
     async def _send(
         self, group: str, record: PrimaryRecord, addresses: set[str]
-    ) -> dict[str, list[str]]:
+    ) -> dict[str, '_Confirmation']:
         """Send a record to instances.
 
-        :returns: by address, the followers of each instance that confirmed.
+        :returns: the confirmations by address.
         """
         notice = encode_notice(group, record)
-        confirmed: dict[str, list[str]] = {}
+        confirmed: dict[str, _Confirmation] = {}
 
         async def send(address: str) -> None:
             answer = await self._peers.call(
@@ -181,12 +244,26 @@
                 definitions.GroupConfirmation,
                 _CONFIRM_TIMEOUT_SECONDS,
             )
-            confirmed[address] = answer.followers or []
+            confirmed[address] = _Confirmation(
+                answer.followers or [], read_clock()
+            )
 
         await run_concurrently(send, addresses)
         return confirmed
 
 
+class _Confirmation(NamedTuple):
+    """Confirmation of one instance, with the addresses of its followers."""
+
+    followers: list[str]
+    received_at: float
+
+
+def _encode_age(seconds: float) -> int:
+    """Return a time in whole milliseconds, limited to an hour."""
+    return int(min(seconds, _MAX_REPORTED_SECONDS) * _MILLISECONDS)
+
+
 async def _drain_writes(group: GroupState) -> None:
     """Wait until no write runs, for at most ``_WRITE_DRAIN_SECONDS``."""
     give_up_at = read_clock() + _WRITE_DRAIN_SECONDS
--- a/comfreystair/coordination/heartbeat.py
+++ b/comfreystair/coordination/heartbeat.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from comfreystair.clocks import read_clock
+from comfreystair.controllers.primary_tracking import PROOF_TTL_SECONDS
 from comfreystair.coordination.jitter import add_jitter
 from comfreystair.coordination.plan_cache import PlanCache
 from comfreystair.coordination.proofs import (
@@ -81,6 +82,7 @@
         self._own_key = f'{INSTANCES_PREFIX}{state.own.name}'
         self._own_revision = 0
         self._lease = 0
+        self._registered_at = float('inf')
         self._renewed_at = float('-inf')
         self._renewal_tried_at = float('-inf')
         self._wake = curio.Event()
@@ -95,6 +97,19 @@
         """
         return self._is_reached
 
+    def is_registered(self) -> bool:
+        """Tell whether each failover that started lately knows this instance.
+
+        It was registered before every announcement that a proof in use may be
+        older than, and the registration has not expired.
+        """
+        now = read_clock()
+        return (
+            bool(self._own_revision)
+            and now - self._registered_at > PROOF_TTL_SECONDS
+            and now - self._renewed_at < REGISTRATION_TTL_SECONDS
+        )
+
     async def refresh_now(self) -> None:
         """Request that the proofs are refreshed without delay."""
         await self._wake.set()
@@ -304,6 +319,7 @@
             if isinstance(outcome, Committed):
                 self._own_revision = outcome.revision
                 self._renewed_at = asked_at
+                self._registered_at = read_clock()
                 return
             current = outcome.items.get(self._own_key)
             if current is None and not outcome.items:
--- a/comfreystair/coordination/primary_monitor.py
+++ b/comfreystair/coordination/primary_monitor.py
@@ -14,6 +14,7 @@
 from comfreystair.controllers.primary_tracking import PROOF_TTL_SECONDS
 from comfreystair.coordination.exceptions import FailoverError
 from comfreystair.coordination.failover import (
+    LEASE_TTL_SECONDS,
     STEP_ANNOUNCE,
     FailoverCoordinator,
 )
@@ -31,7 +32,7 @@
 _MAX_LISTS_AGE_SECONDS: Final = 2.5
 # Each further rank waits this much longer before it starts a failover.
 _RANK_DELAY_SECONDS: Final = 0.12
-_MAX_DELAYED_RANK: Final = 6
+_MAX_DELAYED_RANK: Final = 12
 # Delays after a failover that failed. The longer one applies when another
 # instance holds the failover lease.
 _RETRY_DELAY_SECONDS: Final = 0.45
@@ -44,12 +45,14 @@
 _UNREACHABLE: Final = 'primary does not answer'
 _DEMOTED: Final = 'primary has become a replica'
 # How long a reason must persist before a failover starts, 0 s for the other
-# reasons. A failover that was announced by another instance is given time to
-# finish.
+# reasons. A failover that another instance announced can't be taken over before
+# its lease has expired.
 _PERSISTENCE_SECONDS: Final = {  # noqa: WPS407
     _NO_PRIMARY: 0.3,
-    _STALLED: 1.0,
+    _STALLED: LEASE_TTL_SECONDS,
     _GONE: 0.3,
+    _LEAVING: 0.2,
+    _DEMOTED: 0.2,
 }
 
 
@@ -82,16 +85,33 @@
         self._log = log
         self._reasons: dict[str, tuple[str, float]] = {}
         self._groups_in_failover: set[str] = set()
+        self._groups_in_check: set[str] = set()
+        self._reported: dict[str, float] = {}
         self._retry_at: dict[str, float] = {}
 
     async def run(self) -> None:
-        """Check all groups periodically until cancelled."""
+        """Check all groups periodically until cancelled.
+
+        Groups whose primary must be queried are checked concurrently, so that
+        targets that do not answer delay no other group.
+        """
         while True:
-            for name in list(self._state.groups):
-                if name not in self._groups_in_failover:
+            for name, group in list(self._state.groups.items()):
+                if name in self._groups_in_failover | self._groups_in_check:
+                    continue
+                if group.unreachable_since is None:
                     await self._check(name)
+                else:
+                    self._groups_in_check.add(name)
+                    await curio.spawn(self._check_slowly, name, daemon=True)
             await curio.sleep(add_jitter(_CHECK_INTERVAL_SECONDS))
 
+    async def _check_slowly(self, name: str) -> None:
+        try:
+            await self._check(name)
+        finally:
+            self._groups_in_check.discard(name)
+
     async def _check(self, name: str) -> None:
         """Start a failover of a group if a reason for it has persisted.
 
@@ -99,10 +119,7 @@
         """
         reason = await self._find_reason(name)
         now = read_clock()
-        known, since = self._reasons.get(name, ('', now))
-        if reason != known:
-            self._reasons[name] = (reason, now)
-            return
+        since = self._find_reason_start(name, reason, now)
         if not reason or now < self._retry_at.get(name, now):
             return
         rank = find_rank(name, self._state.instances, self._state.own.name)
@@ -112,6 +129,14 @@
         self._groups_in_failover.add(name)
         await curio.spawn(self._try_failover, name, reason, daemon=True)
 
+    def _find_reason_start(self, name: str, reason: str, now: float) -> float:
+        """Record a group's present reason and return since when it holds."""
+        known, since = self._reasons.get(name, ('', now))
+        if reason != known:
+            since = now
+            self._reasons[name] = (reason, since)
+        return since
+
     async def _find_reason(self, name: str) -> str:
         """Return why a group needs a failover; empty when it needs none."""
         group = self._state.find_group(name)
@@ -154,21 +179,34 @@
             return _LEAVING
         if group.unreachable_since is None:
             return ''
+        asked_at = read_clock()
         report = await self._prober.query_status(entry)
-        now = read_clock()
         if report is None:
-            group.record_failure(now)
-            unreachable_seconds = now - (group.unreachable_since or now)
-            return (
-                _UNREACHABLE
-                if unreachable_seconds >= FAILURE_DETECTION_SECONDS
-                else ''
-            )
+            group.record_failure(asked_at)
+            return await self._judge_unreachable(entry.group, group)
         if report.is_primary:
-            group.record_answer(now)
+            group.record_answer(read_clock())
             return ''
         return _DEMOTED
 
+    async def _judge_unreachable(self, name: str, group: GroupState) -> str:
+        """Return why a primary that gave no status must be replaced.
+
+        The first-ranked instances are told once, since each of them may not
+        use the group at present.
+        """
+        since = group.unreachable_since
+        if since is None:
+            # It has answered another request meanwhile.
+            return ''
+        if self._reported.get(name) != since:
+            self._reported[name] = since
+            await curio.spawn(
+                self._notices.report_unreachable, name, daemon=True
+            )
+        is_lasting = read_clock() - since >= FAILURE_DETECTION_SECONDS
+        return _UNREACHABLE if is_lasting else ''
+
     async def _try_failover(self, name: str, reason: str) -> None:
         """Run a failover and log its outcome; a failure delays the next one.
 
--- a/comfreystair/coordination/records.py
+++ b/comfreystair/coordination/records.py
@@ -53,6 +53,8 @@
     :param incarnation: id of one run of its process; a restart changes it.
     :param is_leaving: the instance is shutting down and accepts no work from
         others.
+    :param needs_contact: the instance stops using primaries when no other
+        availability zone has confirmed them for a while.
     """
 
     name: str
@@ -60,6 +62,7 @@
     address: str
     incarnation: str
     is_leaving: bool = False
+    needs_contact: bool = False
 
 
 class GroupRecord(msgspec.Struct, frozen=True):
--- a/comfreystair/coordination/state.py
+++ b/comfreystair/coordination/state.py
@@ -19,9 +19,13 @@
     :ivar answered_at: when the primary last answered this instance.
     """
 
-    def __init__(self) -> None:
-        """Initialise a group whose primary is not known."""
-        self.primary_tracker = PrimaryTracker()
+    def __init__(self, needs_contact: bool) -> None:
+        """Initialise a group whose primary is not known.
+
+        :param needs_contact: see
+            :class:`~comfreystair.controllers.primary_tracking.PrimaryTracker`.
+        """
+        self.primary_tracker = PrimaryTracker(needs_contact)
         self.running_writes = 0
         self.unreachable_since: float | None = None
         self.answered_at = float('-inf')
@@ -43,10 +47,14 @@
         self.answered_at = now
         self.unreachable_since = None
 
-    def record_failure(self, now: float) -> None:
-        """Record that the primary could not be reached."""
+    def record_failure(self, since: float) -> None:
+        """Record that the primary could not be reached.
+
+        :param since: when the request that got no answer was sent. An answer
+            to another request after that time counts as the newer one.
+        """
         if self.unreachable_since is None:
-            self.unreachable_since = now
+            self.unreachable_since = max(since, self.answered_at)
 
 
 class FleetState:
@@ -94,7 +102,7 @@
         """Return a group's state; it is created if it does not exist."""
         group = self._groups.get(name)
         if group is None:
-            group = GroupState()
+            group = GroupState(self.own.needs_contact)
             self._groups[name] = group
         return group
 
--- a/comfreystair/entry.py
+++ b/comfreystair/entry.py
@@ -19,6 +19,7 @@
     load_entry_settings,
 )
 from comfreystair.controllers.membership import build_incarnation
+from comfreystair.coordination.contacts import ContactExchange
 from comfreystair.coordination.failover import FailoverCoordinator
 from comfreystair.coordination.failover_notices import FailoverNotices
 from comfreystair.coordination.heartbeat import Heartbeat
@@ -106,6 +107,7 @@
             instance.zone,
             f'{instance.address}:{settings.listen.peer_port}',
             build_incarnation(instance.name, time.time_ns()),
+            needs_contact=len(settings.zones) > 1,
         )
         self._state = FleetState(own)
         self._dial = _bound_silence(build_dialer(instance.address))
@@ -129,6 +131,9 @@
             self._exchange,
             self._log,
         )
+        self._contacts = ContactExchange(
+            self._state, self._peers, self._pulse.is_registered
+        )
         self._directory = ServiceDiscovery(
             self._state,
             store,
@@ -195,6 +200,8 @@
         metrics = _listen(f'{host}:{listen.metrics_port}')
         await _spawn(serve_pages, metrics, self._show_metrics)
         await _spawn(self._pulse.run)
+        if self._state.own.needs_contact:
+            await _spawn(self._contacts.run)
         await _spawn(self._directory.run, self._update_board)
         await _spawn(self._duty.run)
         await _spawn(self._leaders.run)
@@ -258,6 +265,13 @@
             'heard': Method(
                 definitions.GroupInquiry, self._notices.handle_inquiry
             ),
+            'unreachable': Method(
+                definitions.UnreachableNotice,
+                self._notices.handle_unreachable,
+            ),
+            'contact': Method(
+                definitions.ContactRequest, self._contacts.handle_request
+            ),
             'proof': Method(
                 definitions.ProofRequest, self._exchange.handle_request
             ),
--- a/comfreystair/peers/comfreystair.thrift
+++ b/comfreystair/peers/comfreystair.thrift
@@ -236,3 +236,21 @@
     5: binary packed,
     6: list<string> gone
 }
+
+// The sender can't reach a group's primary. The time is that since its oldest
+// request without an answer.
+struct UnreachableNotice {
+    1: string group,
+    2: string primary,
+    3: i64 unreachable_ms
+}
+
+// Revisions of the records that the sender knows, by group.
+struct ContactRequest {
+    1: map<string, i64> revisions
+}
+
+// The groups whose records the receiver confirms.
+struct ContactReply {
+    1: list<string> groups
+}
--- a/comfreystair/sessions/attempts.py
+++ b/comfreystair/sessions/attempts.py
@@ -135,10 +135,10 @@
                 _OVERLOAD_BACKOFF_SECONDS, read_clock()
             )
         elif failure is DeliveryFailure.lost:
-            self.record_lost_target(selected, outcome.reason)
+            self.record_lost_target(selected, outcome.reason, asked_at)
         elif selected.is_primary:
             self._state.find_group(selected.entry.group).record_failure(
-                read_clock()
+                asked_at
             )
         if outcome.is_sent:
             return build_failed_answer(lost, f'{ident} gave no answer')
@@ -173,10 +173,14 @@
             await group.wait_for_change(RETRY_DELAY_SECONDS)
         return answer
 
-    def record_lost_target(self, selected: SelectedTarget, reason: str) -> None:
+    def record_lost_target(
+        self, selected: SelectedTarget, reason: str, asked_at: float
+    ) -> None:
         """Log that a target did not answer and record it for its health.
 
         For a primary, the group also records that it was unreachable.
+
+        :param asked_at: when the request was sent.
         """
         now = read_clock()
         entry = selected.entry
@@ -190,7 +194,7 @@
         )
         group = self._state.find_group(entry.group)
         if entry.ident == group.primary_tracker.record.primary:
-            group.record_failure(now)
+            group.record_failure(asked_at)
 
     def _record_answer(
         self, selected: SelectedTarget, answer: Answer, asked_at: float
--- a/comfreystair/sessions/transactions.py
+++ b/comfreystair/sessions/transactions.py
@@ -187,6 +187,7 @@
         """
         pinned = transaction.pinned
         remaining = find_remaining_seconds(deadline)
+        asked_at = read_clock()
         outcome = await self._gateway_client.run_pinned(
             pinned,
             request._replace(
@@ -198,16 +199,28 @@
         transaction.pinned = None
         is_primary = not transaction.is_read_only
         return self._build_lost_answer(
-            SelectedTarget(pinned.entry, None, is_primary), outcome, lost
+            SelectedTarget(pinned.entry, None, is_primary),
+            outcome,
+            lost,
+            asked_at,
         )
 
     def _build_lost_answer(
-        self, selected: SelectedTarget, outcome: Outcome, lost: Failure
+        self,
+        selected: SelectedTarget,
+        outcome: Outcome,
+        lost: Failure,
+        asked_at: float,
     ) -> Answer:
-        """Return the answer to a caller when the target gave none."""
+        """Return the answer to a caller when the target gave none.
+
+        :param asked_at: when the request was sent.
+        """
         ident = selected.entry.ident
         if outcome.delivery_failure is DeliveryFailure.lost and outcome.is_sent:
-            self._attempt_runner.record_lost_target(selected, outcome.reason)
+            self._attempt_runner.record_lost_target(
+                selected, outcome.reason, asked_at
+            )
         if outcome.is_sent:
             return build_failed_answer(lost, f'{ident} gave no answer')
         return build_failed_answer(
--- a/tests/controllers/test_primary_tracking.py
+++ b/tests/controllers/test_primary_tracking.py
@@ -8,6 +8,7 @@
 
 from comfreystair.controllers.positions import Position
 from comfreystair.controllers.primary_tracking import (
+    CONTACT_TTL_SECONDS,
     PROOF_TTL_SECONDS,
     PrimaryRecord,
     PrimaryTracker,
@@ -89,5 +90,42 @@
         self.assertIsNone(self.tracker.find_sample(99))
 
 
+class ContactTest(unittest.TestCase):
+    """An instance of a fleet with several zones, which loses the store."""
+
+    def setUp(self) -> None:
+        """Update the tracker with the old primary, by a read sent at 100."""
+        self.tracker = PrimaryTracker(needs_contact=True)
+        self.tracker.update(OLD, 100)
+
+    def test_proof_without_contact_ends_sooner(self) -> None:
+        """An instance that is cut off with its zone stops early."""
+        ends_at = 100 + CONTACT_TTL_SECONDS
+        self.assertEqual(self.tracker.find_primary(ends_at), 'old')
+        self.assertEqual(self.tracker.find_primary(ends_at + 0.1), '')
+        self.assertFalse(self.tracker.may_acknowledge('old', ends_at + 0.1))
+
+    def test_contact_never_outlives_the_proof(self) -> None:
+        """While the store is down, other zones bridge a limited time."""
+        self.tracker.record_contact(OLD.revision, 102)
+        ends_at = 100 + PROOF_TTL_SECONDS
+        self.assertEqual(self.tracker.find_primary(ends_at), 'old')
+        self.assertEqual(self.tracker.find_primary(ends_at + 0.1), '')
+
+    def test_contact_about_another_record_is_ignored(self) -> None:
+        """A late contact about the old primary says nothing of the new."""
+        self.tracker.record_contact(OLD.revision, 102)
+        self.tracker.update(NEW, 101)
+        self.tracker.record_contact(OLD.revision, 103)
+        expired_at = 101 + CONTACT_TTL_SECONDS + 0.1
+        self.assertEqual(self.tracker.find_primary(expired_at), '')
+
+    def test_fenced_record_is_not_confirmed(self) -> None:
+        """Who confirmed an announcement confirms the old primary no more."""
+        self.assertTrue(self.tracker.confirms(OLD.revision, 101))
+        self.tracker.fence(CHANGING.revision)
+        self.assertFalse(self.tracker.confirms(OLD.revision, 101))
+
+
 if __name__ == '__main__':
     unittest.main()
--- /dev/null
+++ b/tests/coordination/test_failover.py
@@ -0,0 +1,180 @@
+"""How long a failover waits for instances that do not confirm."""
+
+import unittest
+
+import curio
+
+from comfreystair.clocks import read_clock
+from comfreystair.controllers.positions import Position
+from comfreystair.controllers.primary_failover import ReplicationStatus
+from comfreystair.controllers.primary_tracking import (
+    CONTACT_TTL_SECONDS,
+    PROOF_TTL_SECONDS,
+    PrimaryRecord,
+)
+from comfreystair.coordination.failover import FailoverCoordinator
+from comfreystair.coordination.failover_notices import FailoverNotices
+from comfreystair.coordination.records import (
+    GROUPS_PREFIX,
+    INSTANCES_PREFIX,
+    GroupRecord,
+    InstanceRecord,
+    StoredValue,
+    encode_record,
+)
+from comfreystair.coordination.state import FleetState
+from comfreystair.pooling.targets import TargetEntry, TargetReport
+from tests.coordination.fakes import FakePeers, FakeStore
+
+GROUP = 'permits'
+END = Position(1, 7)
+
+
+def build_instance(
+    name: str, zone: str, needs_contact: bool = True
+) -> InstanceRecord:
+    """Return the registration of an instance."""
+    return InstanceRecord(
+        name, zone, f'{name}:1', name, needs_contact=needs_contact
+    )
+
+
+OWN = build_instance('own', 'norte')
+
+
+class RecordingLog:
+    """Keeps the events in order, and the fields of the last of each name."""
+
+    def __init__(self) -> None:
+        """Initialise without events."""
+        self.names: list[str] = []
+        self.events: dict[str, dict[str, object]] = {}
+
+    def write(self, event: str, **fields: object) -> None:
+        """Record an event."""
+        self.names.append(event)
+        self.events[event] = fields
+
+
+class FakeProber:
+    """Targets whose primary can't be reached until one is promoted."""
+
+    def __init__(self) -> None:
+        """Initialise with two replicas."""
+        self.promoted = ''
+
+    async def step_down(self, _entry: TargetEntry, _term: int) -> None:
+        """Do not answer."""
+
+    async def query_group(self, _group: str) -> list[ReplicationStatus]:
+        """Return the replicas."""
+        return [
+            ReplicationStatus(ident, False, 1, END, False)
+            for ident in ('two', 'three')
+        ]
+
+    async def query_status(self, entry: TargetEntry) -> TargetReport:
+        """Report the promoted target as primary."""
+        is_primary = entry.ident == self.promoted
+        return TargetReport(is_primary, 1 + is_primary, END)
+
+    async def promote(self, _group: str, target: str, _token: int) -> bool:
+        """Promote a target at once."""
+        self.promoted = target
+        return True
+
+
+class FailoverTest(unittest.TestCase):
+    """A primary is replaced while some instances are silent."""
+
+    def setUp(self) -> None:
+        """Create a coordinator with a proof, and a group of three targets."""
+        self.store = FakeStore()
+        self.state = FleetState(OWN)
+        self.state.targets = {
+            ident: TargetEntry(
+                ident, GROUP, f'{ident}:2', 'sur', 2, 1, False, False
+            )
+            for ident in ('one', 'two', 'three')
+        }
+        self.log = RecordingLog()
+        self.prober = FakeProber()
+        self.peers = FakePeers()
+        record = GroupRecord('one', 1, is_changing=False)
+        self.put(f'{GROUPS_PREFIX}{GROUP}', record)
+        self.state.find_group(GROUP).primary_tracker.update(
+            PrimaryRecord('one', 1, False, self.store.revision), read_clock()
+        )
+
+    def put(self, key: str, record) -> None:
+        """Write a record to the store."""
+        self.store.revision += 1
+        self.store.items[key] = StoredValue(
+            encode_record(record), self.store.revision
+        )
+
+    def fail_over(self, *silent: InstanceRecord, uptime: float = 60) -> float:
+        """Run the failover and return how long old proofs were valid."""
+        for instance in silent:
+            self.put(f'{INSTANCES_PREFIX}{instance.name}', instance)
+        notices = FailoverNotices(
+            self.state, self.peers, self.refresh_now, lambda: []
+        )
+        coordinator = FailoverCoordinator(
+            self.state,
+            self.store,
+            self.prober,
+            notices,
+            self.prober.promote,
+            self.log,
+        )
+        coordinator._started_at -= uptime
+        curio.run(coordinator.fail_over, GROUP, 'test', False)
+        return self.log.events['change_stopped_all']['validity']
+
+    async def refresh_now(self) -> None:
+        """Ignore the request."""
+
+    def test_nobody_silent_means_no_wait(self) -> None:
+        """All instances have stopped."""
+        self.assertEqual(self.fail_over(), 0)
+
+    def test_silent_zone_shortens_the_wait(self) -> None:
+        """Its instances can only be in contact with others that confirmed."""
+        validity = self.fail_over(
+            build_instance('a', 'sur'), build_instance('b', 'sur')
+        )
+        self.assertEqual(validity, CONTACT_TTL_SECONDS)
+
+    def test_two_silent_zones_need_all_proofs_expired(self) -> None:
+        """They may still be in contact with each other."""
+        validity = self.fail_over(
+            build_instance('a', 'sur'), build_instance('b', 'este')
+        )
+        self.assertEqual(validity, PROOF_TTL_SECONDS)
+
+    def test_older_build_needs_all_proofs_expired(self) -> None:
+        """It goes on without contacts."""
+        validity = self.fail_over(
+            build_instance('a', 'sur'),
+            build_instance('b', 'sur', needs_contact=False),
+        )
+        self.assertEqual(validity, PROOF_TTL_SECONDS)
+
+    def test_recent_start_needs_all_proofs_expired(self) -> None:
+        """It does not know yet who was listed before."""
+        validity = self.fail_over(build_instance('a', 'sur'), uptime=0)
+        self.assertEqual(validity, PROOF_TTL_SECONDS)
+
+    def test_demotion_does_not_wait(self) -> None:
+        """A primary in a silent zone takes a while not to answer."""
+        self.fail_over(build_instance('a', 'sur'))
+        names = self.log.names
+        self.assertLess(
+            names.index('change_stepped_down'),
+            names.index('change_stopped_all'),
+        )
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/tests/coordination/test_failover_notices.py
+++ b/tests/coordination/test_failover_notices.py
@@ -10,6 +10,7 @@
 from comfreystair.coordination.records import InstanceRecord
 from comfreystair.coordination.state import FleetState
 from comfreystair.peers import PeerRefusedError
+from comfreystair.peers.messages import definitions
 from tests.coordination.fakes import FakePeers
 
 STABLE = PrimaryRecord('one', 1, is_changing=False, revision=5)
@@ -30,6 +31,7 @@
         self.group = self.state.find_group('permits')
         self.group.primary_tracker.update(STABLE, read_clock())
         peers.serve(address, 'group', self.notices.handle_notice)
+        peers.serve(address, 'unreachable', self.notices.handle_unreachable)
 
     def list_followers(self) -> list[str]:
         """Return the configured followers."""
@@ -53,7 +55,11 @@
         :returns: the addresses that did not confirm.
         """
         notices = self.instances['a'].notices
-        return curio.run(notices.broadcast, 'permits', CHANGING, set(addresses))
+        broadcast = curio.run(
+            notices.broadcast, 'permits', CHANGING, set(addresses)
+        )
+        self.assertLessEqual(broadcast.confirmed_at, read_clock())
+        return broadcast.unconfirmed
 
     def may_acknowledge(self, name: str) -> bool:
         """Tell whether an instance would acknowledge a write."""
@@ -85,6 +91,37 @@
         self.assertEqual(self.announce('b:1'), [])
         self.assertFalse(self.may_acknowledge('c'))
 
+    def test_inquiry_before_the_first_answer_is_answered(self) -> None:
+        """The time since an answer that never came fits into the message."""
+        instance = self.instances['a']
+        instance.group.record_failure(read_clock())
+        inquiry = definitions.GroupInquiry(group='permits')
+        answer = curio.run(instance.notices.handle_inquiry, inquiry)
+        self.assertGreater(answer.heard_ms, 0)
+
+    def test_first_ranked_learn_of_an_unreachable_primary(self) -> None:
+        """In a large fleet, few of them use a given group at a time."""
+        reporter = self.instances['a']
+        reporter.state.instances = {
+            name: one.state.own for name, one in self.instances.items()
+        }
+        reporter.group.record_failure(read_clock())
+        curio.run(reporter.notices.report_unreachable, 'permits')
+        for name in 'bc':
+            group = self.instances[name].group
+            self.assertIsNotNone(group.unreachable_since, name)
+
+    def test_report_about_another_primary_is_ignored(self) -> None:
+        """A late report must not cast doubt on a newer primary."""
+        notices = self.instances['a'].notices
+        for group, primary in (('permits', 'two'), ('unknown', 'one')):
+            notice = definitions.UnreachableNotice(
+                group=group, primary=primary, unreachable_ms=900
+            )
+            curio.run(notices.handle_unreachable, notice)
+        self.assertIsNone(self.instances['a'].group.unreachable_since)
+        self.assertNotIn('unknown', self.instances['a'].state.groups)
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/tests/coordination/test_primary_monitor.py
+++ b/tests/coordination/test_primary_monitor.py
@@ -29,20 +29,28 @@
     def __init__(self) -> None:
         """Initialise without failovers, with a primary that answers."""
         self.failovers: list[tuple[str, str, bool]] = []
+        self.reported: list[str] = []
+        self.silent: set[str] = set()
         self.report: TargetReport | None = TargetReport(True, 1, None)
 
     async def fail_over(self, name: str, reason: str, is_planned: bool) -> None:
         """Record a failover."""
         self.failovers.append((name, reason, is_planned))
 
-    async def query_status(self, _entry: TargetEntry) -> TargetReport | None:
-        """Return the configured report for any target."""
+    async def query_status(self, entry: TargetEntry) -> TargetReport | None:
+        """Return the configured report, or wait forever for silent ones."""
+        if entry.ident in self.silent:
+            await curio.sleep(float(RUN_SECONDS))
         return self.report
 
     async def is_widely_unreachable(self, _group: str) -> bool:
         """Report that no other instance reaches the primary."""
         return True
 
+    async def report_unreachable(self, group: str) -> None:
+        """Record a report to other instances."""
+        self.reported.append(group)
+
     async def refresh_now(self) -> None:
         """Ignore the request."""
 
@@ -83,6 +91,38 @@
         self.group.record_failure(read_clock())
         failovers = self.run_monitor()
         self.assertEqual(failovers[0][1], 'primary does not answer')
+        self.assertEqual(self.fakes.reported, ['permits'])
+
+    def test_silent_primary_delays_no_other_group(self) -> None:
+        """A lost zone takes several primaries, each of which gives no status.
+
+        Queried one after the other, the last would be replaced much later.
+        """
+        other = self.state.find_group('pitches')
+        self.state.targets['two'] = build_entry('two', group='pitches')
+        record = PrimaryRecord('two', 1, is_changing=False, revision=6)
+        other.primary_tracker.update(record, read_clock())
+        self.fakes.silent = {'one'}
+        self.fakes.report = None
+        self.group.record_failure(read_clock())
+        other.record_failure(read_clock())
+        names = [name for name, _reason, _planned in self.run_monitor()]
+        self.assertIn('pitches', names)
+
+    def test_failure_counts_from_when_the_request_was_sent(self) -> None:
+        """Unless the primary answered another request meanwhile."""
+        now = read_clock()
+        self.group.record_failure(now - 0.5)
+        self.assertEqual(self.group.unreachable_since, now - 0.5)
+        self.group.record_answer(now - 0.3)
+        self.group.record_failure(now - 0.5)
+        self.assertEqual(self.group.unreachable_since, now - 0.3)
+
+    def test_announced_failover_is_left_to_its_holder(self) -> None:
+        """Its lease keeps all others out until it has expired."""
+        changing = PrimaryRecord('one', 1, is_changing=True, revision=6)
+        self.set_record(changing)
+        self.assertEqual(self.run_monitor(), [])
 
     def test_leaving_primary_is_replaced_as_planned(self) -> None:
         """A planned failover lets the successor receive the log first."""
--- a/tests/specs/test_specs.py
+++ b/tests/specs/test_specs.py
@@ -5,7 +5,8 @@
 
 from minicheck import Protocol, check_safety
 
-from specs import failover, manifest, reads, shares
+from comfreystair.controllers.primary_tracking import PrimaryTracker
+from specs import contacts, failover, manifest, reads, shares
 
 MAX_STATES = 1000000
 MUTANT_STATES = 200000
@@ -61,6 +62,26 @@
             failover.build(judge=judge_alone), 'keeps_acknowledged'
         )
 
+    def test_contacts_hold(self) -> None:
+        """A zone that is cut off stops before a new primary is promoted."""
+        self.assert_holds(contacts.build())
+
+    def test_contacts_are_needed(self) -> None:
+        """Proofs alone outlive the shorter wait."""
+        self.assert_refuted(
+            contacts.build(build_tracker=PrimaryTracker), 'uses_one_primary'
+        )
+
+    def test_contacts_end_with_the_confirmation(self) -> None:
+        """An instance that confirmed a failover must not give contacts."""
+
+        def confirm_always(_tracker, _revision: int, _now: float) -> bool:
+            return True
+
+        self.assert_refuted(
+            contacts.build(confirm=confirm_always), 'uses_one_primary'
+        )
+
     def test_reads_hold(self) -> None:
         """A session reads what was acknowledged before it connected."""
         self.assert_holds(reads.build())
