Reject at once what no target will serve in time

Sixteen statements a second were sent to primaries that had given no status.

Now a primary that gave no status gets no requests until a query of the monitor is answered; a request whose deadline lies before the likely end of the outage is rejected without a wait and without a token; the time to come back is that end, spread over 0.3 s. A busy or full target that answers a status query with a rejection counts as alive: it was taken for dead before (a test failed first). Targets in a silent zone are asked for 0.1 s instead of 0.3 s.

--- a/comfreystair/coordination/failover.py
+++ b/comfreystair/coordination/failover.py
@@ -87,6 +87,8 @@
     :param lease: id of the failover lease in the store.
     :param lease_ends_at: when the lease expires, on this instance's clock.
     :param is_planned: the old primary is to leave the group and still runs.
+    :param log_end: end of the old primary's log; nothing while it is not known.
+    :param doubtful_targets: ids of targets that probably do not answer.
     """
 
     group: str
@@ -95,6 +97,8 @@
     lease: int
     lease_ends_at: float
     is_planned: bool
+    log_end: Position | None = None
+    doubtful_targets: frozenset[str] = frozenset()
 
 
 class FailoverCoordinator:
@@ -136,11 +140,10 @@
         :raises ComfreystairError: its ``step`` names the step that failed.
         """
         failover = await self._announce(name, reason, is_planned)
-        log_end = None
         if failover.old_record.primary:
-            log_end = await self._stop_use_of_old_primary(failover)
+            failover = await self._stop_use_of_old_primary(failover)
             failover = await self._renew_lease(failover)
-        primary, term = await self._find_or_promote(failover, log_end)
+        primary, term = await self._find_or_promote(failover)
         record = await self._write_record(failover, primary, term)
         await self._notices.publish(name, record)
         if not failover.old_record.primary:
@@ -214,14 +217,13 @@
             raise FailoverError('the failover lease has expired', 'extend')
         return failover._replace(lease_ends_at=asked_at + LEASE_TTL_SECONDS)
 
-    async def _stop_use_of_old_primary(
-        self, failover: Failover
-    ) -> Position | None:
+    async def _stop_use_of_old_primary(self, failover: Failover) -> Failover:
         """Wait until no instance uses the old primary any more, and demote it.
 
         It is demoted while the proofs of silent instances expire.
 
-        :returns: the end of its log, or nothing when it did not answer.
+        :returns: the failover with the end of the old primary's log, if it
+            answered, and the targets that probably do not answer.
         """
         announced_at = read_clock()
         recipients = await self._list_recipients(failover, announced_at)
@@ -232,7 +234,28 @@
             failover.group, record, set(recipients)
         )
         demotion = await curio.spawn(self._demote_old_primary, failover)
-        validity = self._find_validity(announced_at, broadcast, recipients)
+        silent = [recipients.get(one) for one in broadcast.unconfirmed]
+        await self._wait_for_silent(
+            failover.group, announced_at, broadcast, silent
+        )
+        log_end = await demotion.join()
+        doubtful = self._find_doubtful_targets(failover.group, silent)
+        if log_end is None:
+            doubtful |= {failover.old_record.primary}
+        return failover._replace(log_end=log_end, doubtful_targets=doubtful)
+
+    async def _wait_for_silent(
+        self,
+        group: str,
+        announced_at: float,
+        broadcast: Broadcast,
+        silent: list[InstanceRecord | None],
+    ) -> None:
+        """Wait until instances that did not confirm have stopped as well.
+
+        :param silent: their records, nothing for an unknown one.
+        """
+        validity = self._find_validity(announced_at, silent)
         waited = 0.0
         if validity:
             is_contact = validity == CONTACT_TTL_SECONDS
@@ -241,19 +264,28 @@
         await curio.sleep(waited)
         self._log.write(
             'change_stopped_all',
-            group=failover.group,
-            instances=len(recipients),
+            group=group,
             silent=','.join(broadcast.unconfirmed),
             validity=validity,
             waited=waited,
         )
-        return await demotion.join()
+
+    def _find_doubtful_targets(
+        self, group: str, silent: list[InstanceRecord | None]
+    ) -> frozenset[str]:
+        """Return the group's targets in zones of which an instance is silent.
+
+        Such a zone may be cut off.
+        """
+        zones = {record.zone for record in silent if record is not None}
+        return frozenset(
+            entry.ident
+            for entry in self._state.list_targets(group)
+            if entry.zone in zones
+        )
 
     def _find_validity(
-        self,
-        announced_at: float,
-        broadcast: Broadcast,
-        recipients: dict[str, InstanceRecord],
+        self, announced_at: float, silent: list[InstanceRecord | None]
     ) -> float:
         """Return how long an instance may go on using the old primary.
 
@@ -272,22 +304,22 @@
         is_recently_started = (
             announced_at - self._started_at < 2 * PROOF_TTL_SECONDS
         )
-        if not broadcast.unconfirmed and not is_recently_started:
+        if not silent and not is_recently_started:
             return 0
-        silent = [recipients.get(one) for one in broadcast.unconfirmed]
         if not is_recently_started and needs_contact_of_other_zones(silent):
             return CONTACT_TTL_SECONDS
         return PROOF_TTL_SECONDS
 
     async def _list_recipients(
         self, failover: Failover, announced_at: float
-    ) -> dict[str, InstanceRecord]:
+    ) -> dict[str, InstanceRecord | None]:
         """Return the other instances to tell of a failover, by address.
 
         These are the instances that may hold a proof from before the
         announcement. Instances that were listed within twice the validity of a
         proof are included, since the store may have dropped their
-        registrations during an outage.
+        registrations during an outage. Those that have stopped are not, but
+        their followers are, without a record.
         """
         items = await self._retry(
             failover,
@@ -300,11 +332,11 @@
             for record, seen_at in self._state.recently_listed.values()
             if seen_at > oldest
         ]
-        known = {
-            one.address: one for one in (*recent, *listed) if one is not None
-        }
-        known.pop(self._state.own.address, None)
-        return known
+        recipients = list_recipients(
+            one for one in (*recent, *listed) if one is not None
+        )
+        recipients.pop(self._state.own.address, None)
+        return recipients
 
     async def _demote_old_primary(self, failover: Failover) -> Position | None:
         """Demote the old primary.
@@ -326,16 +358,13 @@
         )
         return report.received if report else None
 
-    async def _find_or_promote(
-        self, failover: Failover, log_end: Position | None
-    ) -> tuple[str, int]:
+    async def _find_or_promote(self, failover: Failover) -> tuple[str, int]:
         """Find a target that is primary already, or promote one.
 
         A target is promoted once a successor has received the old primary's
         log, the time for this has passed, or the end of the log is not known.
         In a group without an old primary, none is promoted.
 
-        :param log_end: end of the old primary's log, if it is known.
         :returns: the id of the new primary and its term.
         :raises FailoverError: when there is none before the lease expires.
         """
@@ -343,14 +372,16 @@
         catch_up_ends_at = read_clock() + timeout
         failed_targets: set[str] = set()
         while read_clock() < failover.lease_ends_at - _LEASE_MARGIN_SECONDS:
-            statuses = await self._prober.query_group(failover.group)
+            statuses = await self._prober.query_group(
+                failover.group, failover.doubtful_targets
+            )
             other_primary = find_other_primary(
                 statuses, failover.old_record.primary, failover.old_record.term
             )
             if other_primary is not None:
                 return other_primary.ident, other_primary.term
             may_promote = read_clock() >= catch_up_ends_at or has_caught_up(
-                statuses, log_end, failover.old_record.primary
+                statuses, failover.log_end, failover.old_record.primary
             )
             if failover.old_record.primary and may_promote:
                 promoted = await self._promote_successor(
@@ -462,6 +493,28 @@
             await curio.sleep(_POLL_INTERVAL_SECONDS)
 
 
+def list_recipients(
+    records: Iterable[InstanceRecord],
+) -> dict[str, InstanceRecord | None]:
+    """Return whom to tell of a failover, by address.
+
+    Instances that have stopped are not told. Their followers are, without a
+    record, as they may not be registered.
+
+    :param records: registrations; later ones replace earlier ones.
+    """
+    registered = list(records)
+    stopped = [one for one in registered if one.is_stopped]
+    runs = {one.incarnation for one in stopped}
+    recipients: dict[str, InstanceRecord | None] = {
+        address: None for one in stopped for address in one.followers
+    }
+    recipients.update(
+        (one.address, one) for one in registered if one.incarnation not in runs
+    )
+    return recipients
+
+
 def needs_contact_of_other_zones(
     silent: Iterable[InstanceRecord | None],
 ) -> bool:
--- a/comfreystair/coordination/failover_notices.py
+++ b/comfreystair/coordination/failover_notices.py
@@ -155,7 +155,7 @@
         fenced. A record of a completed failover has the proofs refreshed.
         """
         group = self._state.find_group(name)
-        group.primary_tracker.update(record, float('-inf'))
+        group.update_record(record, float('-inf'))
         if record.is_changing:
             await _drain_writes(group)
             group.primary_tracker.fence(record.revision)
--- a/comfreystair/coordination/heartbeat.py
+++ b/comfreystair/coordination/heartbeat.py
@@ -26,6 +26,7 @@
     INSTANCES_PREFIX,
     Committed,
     Conflict,
+    InstanceRecord,
     StoreClient,
     StoredValue,
     decode_primary_record,
@@ -117,22 +118,28 @@
     async def announce_shutdown(self) -> None:
         """Mark this instance's registration as leaving.
 
-        An instance that is not registered writes nothing: without a lease, its
-        record would stay in the store for good.
+        :raises ComfreystairError: when the store does not answer.
+        """
+        await self._rewrite_registration(
+            msgspec.structs.replace(self._state.own, is_leaving=True)
+        )
+
+    async def announce_stop(self) -> None:
+        """Stop using primaries and mark this instance as stopped.
+
+        A failover then need not wait until its proofs have expired.
 
         :raises ComfreystairError: when the store does not answer.
         """
-        if not self._own_revision:
-            return
-        own = msgspec.structs.replace(self._state.own, is_leaving=True)
-        outcome = await self._store.compare_and_set(
-            {self._own_key: self._own_revision},
-            {self._own_key: encode_record(own)},
-            self._lease,
-            (self._own_key,),
+        self._state.stop_using_primaries()
+        await self._rewrite_registration(
+            msgspec.structs.replace(
+                self._state.own,
+                is_leaving=True,
+                is_stopped=True,
+                followers=tuple(self._exchange.list_followers()),
+            )
         )
-        if isinstance(outcome, Committed):
-            self._own_revision = outcome.revision
 
     async def run(self) -> None:
         """Refresh the proofs periodically until cancelled.
@@ -156,6 +163,23 @@
             if delay == _INTERVAL_SECONDS:
                 delay = _RETRY_DELAY_SECONDS
 
+    async def _rewrite_registration(self, own: InstanceRecord) -> None:
+        """Change the registration of this instance.
+
+        An instance that is not registered writes nothing: without a lease, its
+        record would stay in the store for good.
+        """
+        if not self._own_revision:
+            return
+        outcome = await self._store.compare_and_set(
+            {self._own_key: self._own_revision},
+            {self._own_key: encode_record(own)},
+            self._lease,
+            (self._own_key,),
+        )
+        if isinstance(outcome, Committed):
+            self._own_revision = outcome.revision
+
     async def _refresh(self) -> None:
         """Get proofs from the zone's reader, the store or other zones.
 
--- a/comfreystair/coordination/primary_monitor.py
+++ b/comfreystair/coordination/primary_monitor.py
@@ -180,11 +180,13 @@
         if group.unreachable_since is None:
             return ''
         asked_at = read_clock()
-        report = await self._prober.query_status(entry)
-        if report is None:
+        probe = await self._prober.probe(entry)
+        if not probe.is_answered:
+            group.has_failed_probe = True
             group.record_failure(asked_at)
             return await self._judge_unreachable(entry.group, group)
-        if report.is_primary:
+        if probe.report is None or probe.report.is_primary:
+            # A primary that is only too busy must not be replaced.
             group.record_answer(read_clock())
             return ''
         return _DEMOTED
--- a/comfreystair/coordination/proofs.py
+++ b/comfreystair/coordination/proofs.py
@@ -237,7 +237,7 @@
     """
     group = state.find_group(name)
     age = group.primary_tracker.find_proof_age(read_clock())
-    if group.primary_tracker.update(record, asked_at):
+    if group.update_record(record, asked_at):
         log.write(
             'leadership',
             group=name,
--- a/comfreystair/coordination/records.py
+++ b/comfreystair/coordination/records.py
@@ -53,6 +53,10 @@
     :param incarnation: id of one run of its process; a restart changes it.
     :param is_leaving: the instance is shutting down and accepts no work from
         others.
+    :param is_stopped: this run of the process uses no primary any more and
+        need not be told of failovers.
+    :param followers: of an instance that has stopped, the addresses of those
+        that fetched proofs from it lately.
     :param needs_contact: the instance stops using primaries when no other
         availability zone has confirmed them for a while.
     """
@@ -63,6 +67,8 @@
     incarnation: str
     is_leaving: bool = False
     needs_contact: bool = False
+    is_stopped: bool = False
+    followers: tuple[str, ...] = ()
 
 
 class GroupRecord(msgspec.Struct, frozen=True):
--- a/comfreystair/coordination/state.py
+++ b/comfreystair/coordination/state.py
@@ -1,13 +1,22 @@
 """This instance's view of the fleet."""
 
+import sys
+from typing import Final
+
 import curio
 
 from comfreystair.clocks import read_clock
-from comfreystair.controllers.primary_tracking import PrimaryTracker
+from comfreystair.controllers.primary_tracking import (
+    PrimaryRecord,
+    PrimaryTracker,
+)
 from comfreystair.coordination.records import InstanceRecord
 from comfreystair.manifest.serving import ServingPlan
 from comfreystair.pooling.targets import TargetEntry
 
+# Higher than any revision of the store.
+_LAST_REVISION: Final = sys.maxsize
+
 
 class GroupState:
     """State of one database group.
@@ -17,6 +26,9 @@
     :ivar unreachable_since: since when requests to the primary have failed;
         nothing if it answered the last one.
     :ivar answered_at: when the primary last answered this instance.
+    :ivar has_failed_probe: it gave no status since then when it was queried.
+    :ivar changing_since: since when this instance knows that the primary is
+        being replaced; nothing if it is not.
     """
 
     def __init__(self, needs_contact: bool) -> None:
@@ -29,6 +41,8 @@
         self.running_writes = 0
         self.unreachable_since: float | None = None
         self.answered_at = float('-inf')
+        self.has_failed_probe = False
+        self.changing_since: float | None = None
         self._changed = curio.Event()
 
     async def notify_waiters(self) -> None:
@@ -42,10 +56,32 @@
         async with curio.ignore_after(seconds):
             await self._changed.wait()
 
+    def update_record(self, record: PrimaryRecord, asked_at: float) -> bool:
+        """Update the group's record and note when a failover begins and ends.
+
+        :param asked_at: see
+            :meth:`~comfreystair.controllers.primary_tracking.PrimaryTracker.update`.
+        :returns: whether the record is newer than the known one.
+        """
+        old_primary = self.primary_tracker.record.primary
+        is_newer = self.primary_tracker.update(record, asked_at)
+        newest = self.primary_tracker.record
+        if not newest.is_changing:
+            self.changing_since = None
+        elif self.changing_since is None:
+            self.changing_since = read_clock()
+        if newest.primary != old_primary:
+            # What was seen of the old primary says nothing of the new one.
+            self.answered_at = float('-inf')
+            self.unreachable_since = None
+            self.has_failed_probe = False
+        return is_newer
+
     def record_answer(self, now: float) -> None:
         """Record that the primary answered."""
         self.answered_at = now
         self.unreachable_since = None
+        self.has_failed_probe = False
 
     def record_failure(self, since: float) -> None:
         """Record that the primary could not be reached.
@@ -106,6 +142,11 @@
             self._groups[name] = group
         return group
 
+    def stop_using_primaries(self) -> None:
+        """Stop using all primaries, as the last step of a shutdown."""
+        for group in self._groups.values():
+            group.primary_tracker.fence(_LAST_REVISION)
+
     def list_targets(self, group: str) -> list[TargetEntry]:
         """Return a group's targets."""
         return [one for one in self.targets.values() if one.group == group]
--- a/comfreystair/coordination/target_prober.py
+++ b/comfreystair/coordination/target_prober.py
@@ -1,7 +1,7 @@
 """Status queries to targets, each on a connection of its own."""
 
-from collections.abc import Awaitable, Callable
-from typing import Final
+from collections.abc import Awaitable, Callable, Container
+from typing import Final, NamedTuple
 
 from comfreystair.controllers.primary_failover import (
     ReplicationStatus,
@@ -11,19 +11,34 @@
 from comfreystair.coordination.state import FleetState
 from comfreystair.exceptions import ComfreystairError
 from comfreystair.observability.decisions import DecisionLog
+from comfreystair.pooling.exceptions import TargetRefusedError
 from comfreystair.pooling.targets import (
     Connection,
     TargetEntry,
     TargetReport,
 )
+from comfreystair.sessions.statements import Failure
 
 # Timeout of connecting to a target, and of one request to it.
 _REQUEST_TIMEOUT_SECONDS: Final = 0.3
+# The same for a target that probably does not answer.
+_DOUBTFUL_TIMEOUT_SECONDS: Final = 0.1
 
 OpenProbe = Callable[[TargetEntry, float], Awaitable[Connection]]
 _Request = Callable[[Connection], Awaitable[TargetReport | None]]
 
 
+class Probe(NamedTuple):
+    """What a status query showed.
+
+    :param is_answered: the target answered, be it that it is too busy.
+    :param report: its status, if it gave one.
+    """
+
+    is_answered: bool
+    report: TargetReport | None
+
+
 class TargetProber:
     """Queries and demotes targets; a target that fails gives no report."""
 
@@ -43,7 +58,20 @@
 
     async def query_status(self, entry: TargetEntry) -> TargetReport | None:
         """Return a target's status report, or nothing when it fails."""
-        return await self._run(entry, _query_status)
+        return (await self.probe(entry)).report
+
+    async def probe(
+        self, entry: TargetEntry, seconds: float = _REQUEST_TIMEOUT_SECONDS
+    ) -> Probe:
+        """Query a target's status and tell whether it answered at all.
+
+        :param seconds: bound on connecting, and again on the query.
+        """
+
+        async def ask(connection: Connection) -> TargetReport | None:
+            return await connection.ask_status(seconds)
+
+        return await self._run(entry, ask, seconds)
 
     async def step_down(
         self, entry: TargetEntry, term: int
@@ -56,14 +84,25 @@
         async def demote(connection: Connection) -> TargetReport | None:
             return await connection.step_down(term, _REQUEST_TIMEOUT_SECONDS)
 
-        return await self._run(entry, demote)
+        return (await self._run(entry, demote)).report
 
-    async def query_group(self, group: str) -> list[ReplicationStatus]:
-        """Return the replication status of a group's targets that answer."""
+    async def query_group(
+        self, group: str, doubtful: Container[str] = ()
+    ) -> list[ReplicationStatus]:
+        """Return the replication status of a group's targets that answer.
+
+        :param doubtful: ids of targets that probably do not answer, which are
+            given less time.
+        """
         statuses: list[ReplicationStatus] = []
 
         async def ask(entry: TargetEntry) -> None:
-            report = await self.query_status(entry)
+            seconds = (
+                _DOUBTFUL_TIMEOUT_SECONDS
+                if entry.ident in doubtful
+                else _REQUEST_TIMEOUT_SECONDS
+            )
+            report = (await self.probe(entry, seconds)).report
             if report is not None:
                 statuses.append(_build_status(entry, report))
 
@@ -71,27 +110,32 @@
         return statuses
 
     async def _run(
-        self, entry: TargetEntry, ask: _Request
-    ) -> TargetReport | None:
-        """Open a connection to a target, send a request and close it."""
+        self,
+        entry: TargetEntry,
+        ask: _Request,
+        seconds: float = _REQUEST_TIMEOUT_SECONDS,
+    ) -> Probe:
+        """Open a connection to a target, send a request and close it.
+
+        A target that refuses a connection, as it has too many, has answered,
+        unless another target answers at its address.
+        """
         connection: Connection | None = None
         try:
-            connection = await self._open_connection(
-                entry, _REQUEST_TIMEOUT_SECONDS
-            )
-            return await ask(connection)
+            connection = await self._open_connection(entry, seconds)
+            return Probe(is_answered=True, report=await ask(connection))
+        except TargetRefusedError as error:
+            self._log.write('probe_failed', target=entry.ident, reason=error)
+            is_other = error.failure is Failure.wrong_target
+            return Probe(is_answered=not is_other, report=None)
         except ComfreystairError as error:
             self._log.write('probe_failed', target=entry.ident, reason=error)
-            return None
+            return Probe(is_answered=False, report=None)
         finally:
             if connection is not None:
                 await connection.close()
 
 
-async def _query_status(connection: Connection) -> TargetReport | None:
-    return await connection.ask_status(_REQUEST_TIMEOUT_SECONDS)
-
-
 def _build_status(
     entry: TargetEntry, report: TargetReport
 ) -> ReplicationStatus:
--- a/comfreystair/entry.py
+++ b/comfreystair/entry.py
@@ -79,6 +79,8 @@
 # Kept of a shutdown's time for giving duties back, in seconds.
 _LEAVE_SECONDS: Final = 0.8
 _STEP_SECONDS: Final = 0.1
+# Bound on the last call of a shutdown, in seconds.
+_LAST_CALL_SECONDS: Final = 0.3
 # After its start an instance takes no keeper's duty this long, in seconds: all
 # start at once and would each try, before the second reading of the lists.
 _SETTLE_SECONDS: Final = 1.2
@@ -352,6 +354,8 @@
             if passed > _ROTATION_SECONDS and is_empty:
                 break
             await curio.sleep(_STEP_SECONDS)
+        if not self._desk.sessions:
+            await self._announce_stop()
         self._log.write(
             'stopped',
             sessions=len(self._desk.sessions),
@@ -371,10 +375,17 @@
 
     async def _leave(self) -> None:
         for step in (self._duty.resign, self._pulse.announce_shutdown):
-            try:
-                await step()
-            except ComfreystairError as error:
-                self._log.write('leaving_not_told', reason=error)
+            await self._try_to_tell(step)
+
+    async def _announce_stop(self) -> None:
+        async with curio.ignore_after(_LAST_CALL_SECONDS):
+            await self._try_to_tell(self._pulse.announce_stop)
+
+    async def _try_to_tell(self, step: Callable[[], Awaitable[None]]) -> None:
+        try:
+            await step()
+        except ComfreystairError as error:
+            self._log.write('leaving_not_told', reason=error)
 
 
 def main() -> None:
--- a/comfreystair/sessions/execution.py
+++ b/comfreystair/sessions/execution.py
@@ -9,9 +9,9 @@
 from comfreystair.pooling.local_execution import StatementRequest
 from comfreystair.sessions.attempts import (
     MAX_ATTEMPTS,
-    NOT_SERVED,
     RESPONSE_MARGIN_SECONDS,
     AttemptRunner,
+    build_rejection,
     is_writing,
     prepare_retry,
 )
@@ -52,6 +52,23 @@
         self._attempt_runner = attempt_runner
         self._log = log
 
+    def reject_hopeless(
+        self,
+        session: Session,
+        route: ServingRoute,
+        organisation: str,
+        statement: Statement,
+    ) -> Answer | None:
+        """Reject a statement that no target will serve in time."""
+        request = build_request(session, route, organisation, statement)
+        requirements = _build_requirements(session, route, request)
+        deadline = _find_deadline(requirements)
+        if not self._target_selector.is_hopeless(requirements, deadline):
+            return None
+        return build_rejection(
+            self._target_selector.find_retry_seconds(route.group)
+        )
+
     async def run(
         self,
         session: Session,
@@ -62,17 +79,9 @@
         """Run a statement, retrying at other targets where that is safe."""
         request = build_request(session, route, organisation, statement)
         is_write = is_writing(request)
-        needs_primary = is_write or route.consistency is Consistency.primary
-        requirements = TargetRequirements(
-            route,
-            organisation,
-            needs_primary,
-            read_clock(),
-            session.floor,
-            set(),
-        )
+        requirements = _build_requirements(session, route, request)
         share = 1 if is_write else _FIRST_READ_ATTEMPT_SHARE
-        answer = NOT_SERVED
+        answer = None
         for _ in range(MAX_ATTEMPTS):
             attempt = await self._run_attempt(
                 session, requirements, request, share
@@ -86,7 +95,9 @@
             if not await prepare_retry(requirements, selected, answer):
                 break
             share = 1
-        return answer
+        return answer or build_rejection(
+            self._target_selector.find_retry_seconds(route.group)
+        )
 
     async def _run_attempt(
         self,
@@ -99,8 +110,7 @@
 
         :param share: share of the remaining time that the attempt may take.
         """
-        allowed = requirements.route.statement_seconds - RESPONSE_MARGIN_SECONDS
-        deadline = requirements.read_at + allowed
+        deadline = _find_deadline(requirements)
         selected = await self._target_selector.select(requirements, deadline)
         remaining = deadline - read_clock()
         if selected is None or remaining <= 0:
@@ -163,6 +173,27 @@
     )
 
 
+def _build_requirements(
+    session: Session, route: ServingRoute, request: StatementRequest
+) -> TargetRequirements:
+    """Return what a statement that begins now needs of its target."""
+    is_strict = route.consistency is Consistency.primary
+    return TargetRequirements(
+        route,
+        request.organisation,
+        is_strict or is_writing(request),
+        read_clock(),
+        session.floor,
+        set(),
+    )
+
+
+def _find_deadline(requirements: TargetRequirements) -> float:
+    """Return until when a target must have answered a statement."""
+    allowed = requirements.route.statement_seconds - RESPONSE_MARGIN_SECONDS
+    return requirements.read_at + allowed
+
+
 def _may_retry(answer: Answer, is_write: bool) -> bool:
     """Tell whether a statement may safely run again.
 
--- a/comfreystair/sessions/manager.py
+++ b/comfreystair/sessions/manager.py
@@ -218,12 +218,16 @@
     async def _run_outside_transaction(
         self, session: Session, organisation: str, statement: Statement
     ) -> Answer:
-        rate_limited = await self._apply_rate_limit(organisation)
-        if rate_limited is not None:
-            return rate_limited
         route = self._find_route(session)
         if route is None:
             return _NO_ROUTE
+        # What is rejected here takes no token, so that the organisation has
+        # its tokens when there is a target again.
+        refusal = self._executor.reject_hopeless(
+            session, route, organisation, statement
+        ) or await self._apply_rate_limit(organisation)
+        if refusal is not None:
+            return refusal
         return await self._executor.run(session, route, organisation, statement)
 
     async def _begin(self, session: Session, statement: Statement) -> Answer:
@@ -235,14 +239,15 @@
         refusal = self._check_access(session)
         if refusal is not None:
             return refusal
-        rate_limited = await self._apply_rate_limit(
-            self._find_organisation(session)
-        )
-        if rate_limited is not None:
-            return rate_limited
         route = self._find_route(session)
         if route is None:
             return _NO_ROUTE
+        organisation = self._find_organisation(session)
+        refusal = self._executor.reject_hopeless(
+            session, route, organisation, statement
+        ) or await self._apply_rate_limit(organisation)
+        if refusal is not None:
+            return refusal
         is_read_only = statement.kind is StatementKind.begin_read
         session.transaction = Transaction(route, is_read_only, read_clock())
         return DONE
--- a/comfreystair/sessions/target_selector.py
+++ b/comfreystair/sessions/target_selector.py
@@ -6,6 +6,10 @@
 
 from comfreystair.clocks import read_clock
 from comfreystair.controllers.positions import Position
+from comfreystair.controllers.primary_outage import (
+    PrimaryOutage,
+    estimate_outage,
+)
 from comfreystair.controllers.target_selection import Floor, choose_target
 from comfreystair.coordination.state import FleetState, GroupState
 from comfreystair.manifest.serving import Consistency, ServingRoute
@@ -17,6 +21,10 @@
 # Share of a statement's time that it may wait for a primary to be known:
 # under half, so that the caller can still retry at another instance.
 _MAX_WAIT_SHARE: Final = 0.45
+# Callers that are rejected for want of a target come back after at least this
+# long, and spread over this much more.
+_MIN_RETRY_SECONDS: Final = 0.2
+_RETRY_SPREAD_SECONDS: Final = 0.3
 
 
 class SelectedTarget(NamedTuple):
@@ -79,28 +87,59 @@
     ) -> SelectedTarget | None:
         """Return a target, or nothing when none becomes available in time."""
         group = self._state.find_group(requirements.route.group)
-        remaining = deadline - read_clock()
-        give_up_at = read_clock() + remaining * _MAX_WAIT_SHARE
+        give_up_at = _find_give_up_time(deadline)
         while True:
             selected = self._select_now(requirements, group)
             if selected is not None:
                 return selected
-            if read_clock() >= give_up_at or self._is_wait_useless(group):
+            if read_clock() + self._estimate(group) >= give_up_at:
                 return None
             await group.wait_for_change(_POLL_SECONDS)
 
-    def _is_wait_useless(self, group: GroupState) -> bool:
-        """Tell whether no primary will become available soon.
+    def is_hopeless(
+        self, requirements: TargetRequirements, deadline: float
+    ) -> bool:
+        """Tell whether no target will become available in time."""
+        group = self._state.find_group(requirements.route.group)
+        seconds = self._estimate(group)
+        if read_clock() + seconds < _find_give_up_time(deadline):
+            return False
+        return self._select_now(requirements, group) is None
+
+    def find_retry_seconds(self, name: str) -> float:
+        """Return after how long a rejected caller should come back.
 
-        None answers, and none can be promoted while the store is unreachable.
+        The delays are spread, so that not all callers of a group return at the
+        moment at which it has a primary again.
+
+        :param name: name of the group.
         """
-        if self._is_store_reached():
-            return False
+        seconds = self._estimate(self._state.find_group(name))
+        spread = random.random() * _RETRY_SPREAD_SECONDS  # noqa: S311
+        return max(seconds, _MIN_RETRY_SECONDS) + spread
+
+    def _estimate(self, group: GroupState) -> float:
+        """Return how long the group will probably lack a usable primary."""
         now = read_clock()
         primary = group.primary_tracker.find_primary(now)
-        return not primary or self._pools.find_health(primary).is_backing_off(
-            now
+        if primary and not self._is_avoided(primary, group, now):
+            return 0
+        outage = PrimaryOutage(
+            group.unreachable_since,
+            group.has_failed_probe,
+            group.changing_since,
+            self._is_store_reached(),
         )
+        return estimate_outage(outage, now)
+
+    def _is_avoided(self, primary: str, group: GroupState, now: float) -> bool:
+        """Tell whether a primary gets no requests for now.
+
+        One that gave no status is left to the monitor, which queries it until
+        it answers or is replaced: requests would only wait there.
+        """
+        health = self._pools.find_health(primary)
+        return group.has_failed_probe or health.is_backing_off(now)
 
     def _select_now(
         self, requirements: TargetRequirements, group: GroupState
@@ -108,11 +147,11 @@
         now = read_clock()
         primary = group.primary_tracker.find_primary(now)
         if requirements.must_be_primary:
-            return self._select_primary(primary, requirements, now)
+            return self._select_primary(primary, group, now)
         since = requirements.read_at - requirements.route.max_age
         sample = group.primary_tracker.find_sample(since)
         if sample is None:
-            return self._select_primary(primary, requirements, now)
+            return self._select_primary(primary, group, now)
         floor = Floor(sample.position, sample.asked_at)
         if (
             requirements.route.consistency is Consistency.own_writes
@@ -123,6 +162,7 @@
             target
             for target in self._state.list_targets(requirements.route.group)
             if target.ident not in requirements.tried
+            and not (target.ident == primary and group.has_failed_probe)
         ]
         ident = choose_target(
             self._pools.list_candidates(entries, primary),
@@ -137,11 +177,15 @@
         return SelectedTarget(entry, None if is_primary else floor, is_primary)
 
     def _select_primary(
-        self, primary: str, requirements: TargetRequirements, now: float
+        self, primary: str, group: GroupState, now: float
     ) -> SelectedTarget | None:
         entry = self._state.targets.get(primary)
-        if entry is None or self._pools.find_health(primary).is_backing_off(
-            now
-        ):
+        if entry is None or self._is_avoided(primary, group, now):
             return None
         return SelectedTarget(entry, None, is_primary=True)
+
+
+def _find_give_up_time(deadline: float) -> float:
+    """Return until when a statement may wait for a target."""
+    now = read_clock()
+    return now + (deadline - now) * _MAX_WAIT_SHARE
--- a/comfreystair/sessions/transactions.py
+++ b/comfreystair/sessions/transactions.py
@@ -12,9 +12,9 @@
 )
 from comfreystair.sessions.attempts import (
     MAX_ATTEMPTS,
-    NOT_SERVED,
     RESPONSE_MARGIN_SECONDS,
     AttemptRunner,
+    build_rejection,
     is_writing,
     prepare_retry,
 )
@@ -104,7 +104,22 @@
             session.floor,
             set(),
         )
-        answer = NOT_SERVED
+        answer = await self._try_targets(
+            transaction, requirements, request, deadline
+        )
+        return answer or build_rejection(
+            self._target_selector.find_retry_seconds(route.group)
+        )
+
+    async def _try_targets(
+        self,
+        transaction: Transaction,
+        requirements: TargetRequirements,
+        request: StatementRequest,
+        deadline: float,
+    ) -> Answer | None:
+        """Begin at one target after the other; nothing when there is none."""
+        answer = None
         for _ in range(MAX_ATTEMPTS):
             selected = await self._target_selector.select(
                 requirements, deadline
--- a/tests/coordination/test_failover.py
+++ b/tests/coordination/test_failover.py
@@ -3,6 +3,7 @@
 import unittest
 
 import curio
+import msgspec
 
 from comfreystair.clocks import read_clock
 from comfreystair.controllers.positions import Position
@@ -62,12 +63,16 @@
     def __init__(self) -> None:
         """Initialise with two replicas."""
         self.promoted = ''
+        self.doubtful: frozenset[str] = frozenset()
 
     async def step_down(self, _entry: TargetEntry, _term: int) -> None:
         """Do not answer."""
 
-    async def query_group(self, _group: str) -> list[ReplicationStatus]:
-        """Return the replicas."""
+    async def query_group(
+        self, _group: str, doubtful: frozenset[str]
+    ) -> list[ReplicationStatus]:
+        """Return the replicas and record which targets are doubtful."""
+        self.doubtful = doubtful
         return [
             ReplicationStatus(ident, False, 1, END, False)
             for ident in ('two', 'three')
@@ -93,9 +98,13 @@
         self.state = FleetState(OWN)
         self.state.targets = {
             ident: TargetEntry(
-                ident, GROUP, f'{ident}:2', 'sur', 2, 1, False, False
+                ident, GROUP, f'{ident}:2', zone, 2, 1, False, False
+            )
+            for ident, zone in (
+                ('one', 'sur'),
+                ('two', 'este'),
+                ('three', 'norte'),
             )
-            for ident in ('one', 'two', 'three')
         }
         self.log = RecordingLog()
         self.prober = FakeProber()
@@ -166,6 +175,25 @@
         validity = self.fail_over(build_instance('a', 'sur'), uptime=0)
         self.assertEqual(validity, PROOF_TTL_SECONDS)
 
+    def test_stopped_instance_is_not_waited_for(self) -> None:
+        """A planned stop shortly before leaves no proof in use."""
+        gone = build_instance('a', 'sur')
+        self.state.recently_listed['a'] = (gone, read_clock())
+        stopped = msgspec.structs.replace(gone, is_stopped=True)
+        self.assertEqual(self.fail_over(stopped), 0)
+
+    def test_followers_of_a_stopped_instance_are_told(self) -> None:
+        """They may not be listed themselves and hold a proof of it."""
+        stopped = msgspec.structs.replace(
+            build_instance('a', 'sur'), is_stopped=True, followers=('b:1',)
+        )
+        self.assertEqual(self.fail_over(stopped), PROOF_TTL_SECONDS)
+
+    def test_targets_of_a_silent_zone_are_given_less_time(self) -> None:
+        """The zone is probably cut off, and so is its primary."""
+        self.fail_over(build_instance('a', 'este'))
+        self.assertEqual(self.prober.doubtful, {'one', 'two'})
+
     def test_demotion_does_not_wait(self) -> None:
         """A primary in a silent zone takes a while not to answer."""
         self.fail_over(build_instance('a', 'sur'))
--- a/tests/coordination/test_primary_monitor.py
+++ b/tests/coordination/test_primary_monitor.py
@@ -9,10 +9,12 @@
 from comfreystair.coordination.primary_monitor import PrimaryMonitor
 from comfreystair.coordination.records import InstanceRecord
 from comfreystair.coordination.state import FleetState
+from comfreystair.coordination.target_prober import Probe
 from comfreystair.pooling.targets import TargetEntry, TargetReport
 
 OWN = InstanceRecord('a', 'lima-a', '127.0.0.1:1', 'a-1')
 RUN_SECONDS = 2.5
+NO_ANSWER = Probe(is_answered=False, report=None)
 
 
 def build_entry(ident: str, **fields: object) -> TargetEntry:
@@ -31,17 +33,17 @@
         self.failovers: list[tuple[str, str, bool]] = []
         self.reported: list[str] = []
         self.silent: set[str] = set()
-        self.report: TargetReport | None = TargetReport(True, 1, None)
+        self.probed = Probe(True, TargetReport(True, 1, None))
 
     async def fail_over(self, name: str, reason: str, is_planned: bool) -> None:
         """Record a failover."""
         self.failovers.append((name, reason, is_planned))
 
-    async def query_status(self, entry: TargetEntry) -> TargetReport | None:
-        """Return the configured report, or wait forever for silent ones."""
+    async def probe(self, entry: TargetEntry) -> Probe:
+        """Return the configured result, or wait forever for silent ones."""
         if entry.ident in self.silent:
             await curio.sleep(float(RUN_SECONDS))
-        return self.report
+        return self.probed
 
     async def is_widely_unreachable(self, _group: str) -> bool:
         """Report that no other instance reaches the primary."""
@@ -87,7 +89,7 @@
 
     def test_unreachable_primary_is_replaced(self) -> None:
         """A primary that stays unreachable for long enough has failed."""
-        self.fakes.report = None
+        self.fakes.probed = NO_ANSWER
         self.group.record_failure(read_clock())
         failovers = self.run_monitor()
         self.assertEqual(failovers[0][1], 'primary does not answer')
@@ -103,7 +105,7 @@
         record = PrimaryRecord('two', 1, is_changing=False, revision=6)
         other.primary_tracker.update(record, read_clock())
         self.fakes.silent = {'one'}
-        self.fakes.report = None
+        self.fakes.probed = NO_ANSWER
         self.group.record_failure(read_clock())
         other.record_failure(read_clock())
         names = [name for name, _reason, _planned in self.run_monitor()]
@@ -124,6 +126,13 @@
         self.set_record(changing)
         self.assertEqual(self.run_monitor(), [])
 
+    def test_busy_primary_stays(self) -> None:
+        """An overloaded primary has no slot for a status query either."""
+        self.fakes.probed = Probe(is_answered=True, report=None)
+        self.group.record_failure(read_clock())
+        self.assertEqual(self.run_monitor(), [])
+        self.assertFalse(self.group.has_failed_probe)
+
     def test_leaving_primary_is_replaced_as_planned(self) -> None:
         """A planned failover lets the successor receive the log first."""
         self.state.targets = {'one': build_entry('one', is_leaving=True)}
