--- a/comfreystair/controllers/fair_queue.py
+++ b/comfreystair/controllers/fair_queue.py
@@ -15,6 +15,9 @@
 _INITIAL_SERVICE_SECONDS: Final = 0.002
 _SERVICE_TIME_EWMA_WEIGHT: Final = 0.2
 _MAX_BURST_SLOT_SECONDS: Final = 0.05
+# Longest time in which a debt is paid off. Limits follow a demand that is
+# measured over a shorter time, so an older debt says little.
+_MAX_DEBT_SECONDS: Final = 0.5
 # Avoids a division by zero for an organisation with a limit of zero.
 _MIN_LIMIT: Final = 0.000001
 
@@ -54,6 +57,7 @@
         """Set the limit, in slot-seconds per second."""
         self._refill(now)
         self._limit = limit
+        self._bound_debt()
 
     def find_next_start_at(self, now: float) -> float:
         """Return the earliest start of a request, in monotonic seconds."""
@@ -65,15 +69,21 @@
     def charge(self, seconds: float) -> None:
         """Debit the service time of a completed request, in seconds.
 
-        The credit may become negative.
+        The credit may become negative, by what the limit refills in
+        :data:`_MAX_DEBT_SECONDS`. One statement that took long while the limit
+        is low would else block its organisation for many seconds.
         """
         self._credit -= seconds
+        self._bound_debt()
 
     def _refill(self, now: float) -> None:
         refilled = (now - self._updated_at) * self._limit
         self._credit = min(self._credit + refilled, _MAX_BURST_SLOT_SECONDS)
         self._updated_at = now
 
+    def _bound_debt(self) -> None:
+        self._credit = max(self._credit, -self._limit * _MAX_DEBT_SECONDS)
+
 
 class FairQueue:
     """The requests that run or wait at one target, in fair order."""
--- a/comfreystair/controllers/group_failover.py
+++ b/comfreystair/controllers/group_failover.py
@@ -158,12 +158,17 @@
     def set_members(self, members: tuple[GroupMember, ...]) -> None:
         """Replace the targets by those of a new manifest.
 
-        Observations of removed targets are discarded.
+        Observations of removed targets are discarded. A primary that was
+        removed is no longer used.
         """
         self._members = {member.name: member for member in members}
         for name in list(self._observations):
             if name not in self._members:
                 self._observations.pop(name)
+        primary = self._primary
+        if primary is not None and primary.target not in self._members:
+            self._primary = None
+            self._select_primary()
 
     def set_rank(self, rank: int) -> None:
         """Set the position of this daemon among the candidates, 0 for first."""
--- a/comfreystair/filters/exceptions.py
+++ b/comfreystair/filters/exceptions.py
@@ -51,3 +51,7 @@
     Another target may be selected: either nothing ran at this one, or the
     request is a read on a route that allows repetition.
     """
+
+
+class ReadInterruptedError(TargetUnavailableError):
+    """The connection was lost while a read ran that may be repeated."""
--- a/comfreystair/filters/execute.py
+++ b/comfreystair/filters/execute.py
@@ -8,7 +8,10 @@
 
 from comfreystair.filters import idempotency, request_errors
 from comfreystair.filters.context import FilterContext
-from comfreystair.filters.exceptions import RequestError, TargetUnavailableError
+from comfreystair.filters.exceptions import (
+    ReadInterruptedError,
+    TargetUnavailableError,
+)
 from comfreystair.filters.request import Handler, Request
 from comfreystair.filters.session import PinnedTransaction
 from comfreystair.targets.connection import Answer, TargetConnection, Use
@@ -128,14 +131,8 @@
         )
     is_repeatable = request.route is not None and request.route.is_repeatable
     if request.is_read and is_repeatable and session.pinned_transaction is None:
-        return TargetUnavailableError(reason, 'execute', peer)
-    return RequestError(
-        request_errors.CONNECTION_LOST,
-        f'connection to the target lost, nothing was committed: {reason}',
-        step='execute',
-        peer=peer,
-        hint='Restart the transaction; a single read can be repeated as it is.',
-    )
+        return ReadInterruptedError(reason, 'execute', peer)
+    return request_errors.build_connection_lost_error(reason, 'execute', peer)
 
 
 def _pin_open_transaction(
--- a/comfreystair/filters/place.py
+++ b/comfreystair/filters/place.py
@@ -18,7 +18,10 @@
 )
 from comfreystair.filters import request_errors
 from comfreystair.filters.context import FilterContext
-from comfreystair.filters.exceptions import TargetUnavailableError
+from comfreystair.filters.exceptions import (
+    ReadInterruptedError,
+    TargetUnavailableError,
+)
 from comfreystair.filters.request import Handler, Request
 from comfreystair.filters.session import SelectedTarget
 from comfreystair.targets.connection import Answer
@@ -88,6 +91,10 @@
     request.trace.note('place', f'again: {error}')
     now = time.monotonic()
     if now >= deadline:
+        if isinstance(error, ReadInterruptedError):
+            raise request_errors.build_connection_lost_error(
+                str(error), 'place', group.name
+            )
         raise request_errors.build_not_run_error(
             str(error), 'place', group.name
         )
--- a/comfreystair/filters/request_errors.py
+++ b/comfreystair/filters/request_errors.py
@@ -49,6 +49,23 @@
     )
 
 
+def build_connection_lost_error(
+    message: str, step: str, peer: str = ''
+) -> RequestError:
+    """Build the error for a request that may have run without a commit.
+
+    :param step: name of the filter in which the request failed.
+    :param peer: target or group that the error is about.
+    """
+    return RequestError(
+        CONNECTION_LOST,
+        f'connection to the target lost, nothing was committed: {message}',
+        step=step,
+        peer=peer,
+        hint='Restart the transaction; a single read can be repeated as it is.',
+    )
+
+
 def build_rate_limit_error(
     organisation: str, retry_seconds: float
 ) -> RequestError:
--- a/tests/controllers/test_group_failover.py
+++ b/tests/controllers/test_group_failover.py
@@ -291,6 +291,19 @@
         simulation.run(6)
         self.check(simulation, 3)
 
+    def test_removed_primary_is_replaced(self) -> None:
+        """A manifest may drop the primary without draining it first."""
+        simulation = Simulation(6)
+        simulation.run(1)
+        simulation.targets['t0'].is_up = False
+        for controller in simulation.controllers:
+            controller.set_members(MEMBERS[1:])
+        self.assertIsNone(simulation.controllers[0].primary)
+        simulation.run(4)
+        primary = simulation.controllers[0].primary
+        self.assertIsNotNone(primary)
+        self.assertNotEqual(primary.target, 't0')
+
     def test_draining_primary_is_replaced(self) -> None:
         """A primary that is being drained is replaced while it still works."""
         simulation = Simulation(5)
