Lose no caller's outcome when the PostgreSQL daemon stops under load

A request that crosses the notice was left unread, so that closing reset the connection, which can destroy the notice.

Ruled out: a request cut in the chain (the log has cut=0) and the peers' client (the lost ones never reached a target).

--- a/comfreystair/callers/server.py
+++ b/comfreystair/callers/server.py
@@ -24,6 +24,8 @@
 )
 _POLL_SECONDS: Final = 0.02
 _EXPIRE_SECONDS: Final = 0.5
+# A caller that was told that the daemon goes away has this long to close.
+_LINGER_SECONDS: Final = 1.0
 
 
 class CallerServer:
@@ -82,16 +84,22 @@
         cut = 0
         for session, task in list(self._sessions.items()):
             cut += session.is_busy
-            await session.shut_down()
+            if session.leaving_since is None:
+                await session.shut_down()
             await task.cancel(blocking=False)
         return cut
 
     async def _close_idle(self) -> None:
+        """Tell idle callers to leave, and close those that have not left."""
+        linger_from = time.monotonic() - _LINGER_SECONDS
         for session, task in list(self._sessions.items()):
-            is_idle = not session.is_busy and not session.has_input
-            if is_idle and session in self._sessions:
-                self._sessions.pop(session)
-                await session.shut_down()
+            session.ask_to_leave()
+            if session.leaving_since is None:
+                is_idle = not session.is_busy and not session.has_input
+                if is_idle and session.is_quiet:
+                    await session.shut_down()
+            elif session.leaving_since < linger_from:
+                self._sessions.pop(session, None)
                 await task.cancel(blocking=False)
 
     async def _serve(self, client: socket.socket, host: str) -> None:
--- a/comfreystair/callers/sessions.py
+++ b/comfreystair/callers/sessions.py
@@ -6,6 +6,7 @@
 
 import curio
 from curio import socket
+from loguru import logger
 
 from comfreystair.callers.exceptions import CallerGoneError
 from comfreystair.callers.own_settings import answer_locally, is_local
@@ -35,6 +36,7 @@
 
 _READ_BYTES: Final = 65536
 _ROLLBACK_SECONDS: Final = 1.0
+_QUIET_SECONDS: Final = 0.25
 _TERMINATE: Final = b'X'
 _FLUSH: Final = b'H'
 _NEVER: Final = float('inf')
@@ -65,6 +67,9 @@
         self._is_over = False
         self._skips_to_sync = False
         self._is_expired = False
+        self._is_asked_to_leave = False
+        self._leaving_since: float | None = None
+        self._answered_at = time.monotonic()
         self._is_writing = False
         self._deadline = _NEVER
 
@@ -73,6 +78,23 @@
         """Tell whether a request runs or a transaction is open."""
         return self._is_busy or self._state.pinned_transaction is not None
 
+    @property
+    def leaving_since(self) -> float | None:
+        """Return when the caller was told that the daemon goes away.
+
+        Nothing if it was not told. In monotonic seconds.
+        """
+        return self._leaving_since
+
+    @property
+    def is_quiet(self) -> bool:
+        """Tell whether the caller has had time to read the last answer.
+
+        A notice that it reads together with an answer is lost: its driver
+        expects nothing more at that time.
+        """
+        return time.monotonic() - self._answered_at > _QUIET_SECONDS
+
     @property
     def has_input(self) -> bool:
         """Tell whether the caller sent something that was not read yet."""
@@ -88,7 +110,11 @@
         try:
             while not self._is_over:
                 frame = await self._next_frame()
-                await self._take_frame(frame)
+                # What arrives after the notice that the daemon goes away is
+                # read, so that closing does not reset the connection, which
+                # could destroy the notice on its way. It does not run.
+                if self._leaving_since is None:
+                    await self._take_frame(frame)
         except FrameError as error:
             await self._end(request_errors.PROTOCOL_VIOLATION, str(error))
         except UnicodeDecodeError as error:
@@ -112,11 +138,27 @@
             # The caller closed it first.
             return
 
+    def ask_to_leave(self) -> None:
+        """Answer the next request outside a transaction with the notice."""
+        self._is_asked_to_leave = True
+
     async def shut_down(self) -> None:
-        """Tell an idle caller that the daemon goes away."""
-        await self._end(
-            request_errors.SHUTTING_DOWN, 'the daemon is shutting down'
+        """Tell an idle caller that the daemon goes away.
+
+        From now on nothing that it sends runs. :meth:`serve` returns when it
+        closes the connection.
+        """
+        self._leaving_since = time.monotonic()
+        frame = build_error(
+            request_errors.SHUTTING_DOWN,
+            'the daemon is shutting down',
+            severity='FATAL',
         )
+        try:
+            await self._send(frame)
+            await self._sock.shutdown(socket.SHUT_WR)
+        except (CallerGoneError, OSError) as error:
+            logger.debug('event=caller_gone error="{}"', error)
 
     async def _take_frame(self, frame: Frame) -> None:
         if frame.kind == _TERMINATE:
@@ -130,7 +172,11 @@
 
     async def _add_to_batch(self, frame: Frame) -> None:
         batch = self._batches.add(frame)
-        if batch is not None:
+        if batch is None:
+            return
+        if self._is_asked_to_leave and not self.is_busy:
+            await self.shut_down()
+        else:
             await self._answer(batch)
 
     async def _take_other(self, frame: Frame) -> None:
@@ -192,6 +238,7 @@
             await self._send(frames + build_ready(self._state.status))
         finally:
             self._is_busy = False
+            self._answered_at = time.monotonic()
 
     async def _run(self, batch: Batch, trace: Trace) -> bytes:
         state = self._state
--- /dev/null
+++ b/tests/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of comfreystair.callers."""
