Keep the list of instances that are told of an unreachable primary

The list can be replaced while the first of them is told; the report then ended in a KeyError, in a task of its own. The test failed before the change.

--- a/comfreystair/coordination/failover_notices.py
+++ b/comfreystair/coordination/failover_notices.py
@@ -134,18 +134,22 @@
             unreachable_ms=_encode_age(read_clock() - since),
         )
 
-        async def tell(name: str) -> None:
+        async def tell(candidate: InstanceRecord) -> None:
             await self._peers.call(
-                self._state.instances[name].address,
+                candidate.address,
                 'unreachable',
                 notice,
                 definitions.Empty,
                 _REQUEST_TIMEOUT_SECONDS,
             )
 
+        # The list may be replaced while the first candidates are told.
+        instances = self._state.instances
+        names = list_first(group, instances, _NOTIFIED_CANDIDATES)
         own_name = self._state.own.name
-        names = list_first(group, self._state.instances, _NOTIFIED_CANDIDATES)
-        await run_concurrently(tell, [one for one in names if one != own_name])
+        await run_concurrently(
+            tell, [instances[name] for name in names if name != own_name]
+        )
 
     async def apply(self, name: str, record: PrimaryRecord) -> None:
         """Apply a group's record from a notice, which is not a proof.
--- a/tests/coordination/test_failover_notices.py
+++ b/tests/coordination/test_failover_notices.py
@@ -111,6 +111,23 @@
             group = self.instances[name].group
             self.assertIsNotNone(group.unreachable_since, name)
 
+    def test_list_may_change_while_instances_are_told(self) -> None:
+        """An unexpected error would end the report halfway."""
+        reporter = self.instances['a']
+        reporter.state.instances = {
+            name: one.state.own for name, one in self.instances.items()
+        }
+        reporter.group.record_failure(read_clock())
+
+        async def lose_list(_notice) -> object:
+            reporter.state.instances = {}
+            return definitions.Empty()
+
+        for name in 'bc':
+            self.peers.serve(f'{name}:1', 'unreachable', lose_list)
+        curio.run(reporter.notices.report_unreachable, 'permits')
+        self.assertEqual(reporter.state.instances, {})
+
     def test_report_about_another_primary_is_ignored(self) -> None:
         """A late report must not cast doubt on a newer primary."""
         notices = self.instances['a'].notices
