Build rejections in one place, and only look for one while a primary is missing

The answer with a time to come back was written out in four places. Each statement was packed and its requirements were worked out twice, also while its group was healthy; now a missing primary is looked for first.

--- a/comfreystair/sessions/attempts.py
+++ b/comfreystair/sessions/attempts.py
@@ -32,7 +32,6 @@
 # proof is looked for again, in seconds.
 RETRY_DELAY_SECONDS: Final = 0.02
 MAX_ATTEMPTS: Final = 6
-_MILLISECONDS_PER_SECOND: Final = 1000
 _WRITING_KINDS: Final = frozenset((StatementKind.write, StatementKind.begin))
 NOT_SERVED: Final = build_failed_answer(
     Failure.overloaded, 'not run, retry after 300 ms'
@@ -229,14 +228,6 @@
             primary_tracker.add_sample(asked_at, answer.position)
 
 
-def build_rejection(retry_seconds: float) -> Answer:
-    """Return the answer to a request for which there is no target."""
-    milliseconds = int(retry_seconds * _MILLISECONDS_PER_SECOND)
-    return build_failed_answer(
-        Failure.overloaded, f'not run, retry after {milliseconds} ms'
-    )
-
-
 def is_writing(request: StatementRequest) -> bool:
     """Tell whether a statement may change data, or begins what may."""
     if request.prepared is not None:
--- a/comfreystair/sessions/execution.py
+++ b/comfreystair/sessions/execution.py
@@ -11,7 +11,6 @@
     MAX_ATTEMPTS,
     RESPONSE_MARGIN_SECONDS,
     AttemptRunner,
-    build_rejection,
     is_writing,
     prepare_retry,
 )
@@ -60,14 +59,14 @@
         statement: Statement,
     ) -> Answer | None:
         """Reject a statement that no target will serve in time."""
+        if not self._target_selector.has_outage(route.group):
+            return None
         request = build_request(session, route, organisation, statement)
         requirements = _build_requirements(session, route, request)
         deadline = _find_deadline(requirements)
         if not self._target_selector.is_hopeless(requirements, deadline):
             return None
-        return build_rejection(
-            self._target_selector.find_retry_seconds(route.group)
-        )
+        return self._target_selector.build_rejection(route.group)
 
     async def run(
         self,
@@ -95,9 +94,7 @@
             if not await prepare_retry(requirements, selected, answer):
                 break
             share = 1
-        return answer or build_rejection(
-            self._target_selector.find_retry_seconds(route.group)
-        )
+        return answer or self._target_selector.build_rejection(route.group)
 
     async def _run_attempt(
         self,
--- a/comfreystair/sessions/manager.py
+++ b/comfreystair/sessions/manager.py
@@ -29,6 +29,7 @@
     Statement,
     StatementKind,
     build_failed_answer,
+    build_retry_answer,
 )
 from comfreystair.sessions.transactions import TransactionManager
 
@@ -44,7 +45,6 @@
 # Safety margin on the time within which a revoked key must stop working, in
 # seconds.
 _KEY_REVOCATION_MARGIN_SECONDS: Final = 0.3
-_MILLISECONDS_PER_SECOND: Final = 1000
 _DATA_KINDS: Final = frozenset(
     (StatementKind.read, StatementKind.write, StatementKind.execute)
 )
@@ -279,11 +279,7 @@
         retry_seconds = await self._rate_limiter.admit(organisation)
         if retry_seconds is None:
             return None
-        milliseconds = int(retry_seconds * _MILLISECONDS_PER_SECOND)
-        return build_failed_answer(
-            Failure.overloaded,
-            f'rate limit, not run, retry after {milliseconds} ms',
-        )
+        return build_retry_answer('rate limit, not run', retry_seconds)
 
     async def _check_access_with_wait(self, session: Session) -> Answer | None:
         """Check access; refuse it only by a recent plan, if one comes in time.
--- a/comfreystair/sessions/statements.py
+++ b/comfreystair/sessions/statements.py
@@ -1,10 +1,12 @@
 """Statements and answers, independent of the protocol."""
 
 import enum
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 from comfreystair.controllers.positions import Position
 
+_MILLISECONDS_PER_SECOND: Final = 1000
+
 
 class StatementKind(enum.Enum):
     """What a statement asks for."""
@@ -112,3 +114,14 @@
 def build_failed_answer(failure: Failure, detail: str = '') -> Answer:
     """Return the answer to a statement that failed."""
     return Answer(failure=failure, detail=detail)
+
+
+def build_retry_answer(reason: str, retry_seconds: float) -> Answer:
+    """Return the answer to a request that did not run and may come back.
+
+    :param retry_seconds: after which it should.
+    """
+    milliseconds = int(retry_seconds * _MILLISECONDS_PER_SECOND)
+    return build_failed_answer(
+        Failure.overloaded, f'{reason}, retry after {milliseconds} ms'
+    )
--- a/comfreystair/sessions/target_selector.py
+++ b/comfreystair/sessions/target_selector.py
@@ -15,6 +15,7 @@
 from comfreystair.manifest.serving import Consistency, ServingRoute
 from comfreystair.pooling.manager import PoolManager
 from comfreystair.pooling.targets import TargetEntry
+from comfreystair.sessions.statements import Answer, build_retry_answer
 
 # How long to wait for a change before selecting again, in seconds.
 _POLL_SECONDS: Final = 0.03
@@ -106,8 +107,12 @@
             return False
         return self._select_now(requirements, group) is None
 
-    def find_retry_seconds(self, name: str) -> float:
-        """Return after how long a rejected caller should come back.
+    def has_outage(self, name: str) -> bool:
+        """Tell whether a group will probably lack a primary for a while."""
+        return self._estimate(self._state.find_group(name)) > 0
+
+    def build_rejection(self, name: str) -> Answer:
+        """Return the answer to a request for which there is no target.
 
         The delays are spread, so that not all callers of a group return at the
         moment at which it has a primary again.
@@ -116,7 +121,9 @@
         """
         seconds = self._estimate(self._state.find_group(name))
         spread = random.random() * _RETRY_SPREAD_SECONDS  # noqa: S311
-        return max(seconds, _MIN_RETRY_SECONDS) + spread
+        return build_retry_answer(
+            'not run', max(seconds, _MIN_RETRY_SECONDS) + spread
+        )
 
     def _estimate(self, group: GroupState) -> float:
         """Return how long the group will probably lack a usable primary."""
--- a/comfreystair/sessions/transactions.py
+++ b/comfreystair/sessions/transactions.py
@@ -14,7 +14,6 @@
     MAX_ATTEMPTS,
     RESPONSE_MARGIN_SECONDS,
     AttemptRunner,
-    build_rejection,
     is_writing,
     prepare_retry,
 )
@@ -107,9 +106,7 @@
         answer = await self._try_targets(
             transaction, requirements, request, deadline
         )
-        return answer or build_rejection(
-            self._target_selector.find_retry_seconds(route.group)
-        )
+        return answer or self._target_selector.build_rejection(route.group)
 
     async def _try_targets(
         self,
