Log the store's era, failed conditions and plans that are set aside

The logs could not tell whether proofs stopped because of the plan's revision or because of a lost registration: a failed conditional read left no line, and neither did a plan that was read and ignored. The era of the store's answers is a gauge as well. No decision is changed.

--- a/comfreystair/coordination/heartbeat.py
+++ b/comfreystair/coordination/heartbeat.py
@@ -284,6 +284,14 @@
         """
         current = conflict.items
         missing = StoredValue(b'', 0)
+        self._log.write(
+            'conditions_not_met',
+            keys=','.join(
+                f'{key}:{revision}/{current.get(key, missing).revision}'
+                for key, revision in expected.items()
+                if current.get(key, missing).revision != revision
+            ),
+        )
         if current.get(self._own_key, missing).revision != self._own_revision:
             self._own_revision = 0
             await self._wake.set()
--- a/comfreystair/coordination/plan_cache.py
+++ b/comfreystair/coordination/plan_cache.py
@@ -49,6 +49,13 @@
         """
         if stored.revision > self.revision:
             self._activate(stored, asked_at, source)
+        elif stored.revision < self.revision:
+            self._log.write(
+                'plan_set_aside',
+                revision=stored.revision,
+                known_revision=self.revision,
+                source=source,
+            )
         if stored.revision >= self.revision:
             self.record_proof(asked_at)
 
--- a/comfreystair/entry.py
+++ b/comfreystair/entry.py
@@ -31,6 +31,7 @@
 from comfreystair.coordination.records import InstanceRecord
 from comfreystair.coordination.service_discovery import ServiceDiscovery
 from comfreystair.coordination.state import FleetState
+from comfreystair.coordination.store_era import StoreEra
 from comfreystair.coordination.target_prober import TargetProber
 from comfreystair.dialing import build_dialer
 from comfreystair.exceptions import ComfreystairError
@@ -113,8 +114,11 @@
         )
         self._state = FleetState(own)
         self._dial = _bound_silence(build_dialer(instance.address))
+        self._store_era = StoreEra(self._log)
         store = Store(
-            HttpClient(self._dial, settings.store.address), _STORE_SECONDS
+            HttpClient(self._dial, settings.store.address),
+            _STORE_SECONDS,
+            self._store_era.observe,
         )
         self._peers = PeerClients(self._dial, _PEER_SECONDS, '')
         self._plans = PlanCache(self._state, parse_plan, self._log)
@@ -334,6 +338,7 @@
         gauges = {
             'sessions': float(len(self._desk.sessions)),
             'plan_age_seconds': self._state.find_plan_age(read_clock()),
+            'store_era': float(self._store_era.current),
             'log_lines_left_out': float(self._log.left_out),
         }
         return _OK, self._counters.format(gauges)
--- a/comfreystair/platform/http.py
+++ b/comfreystair/platform/http.py
@@ -1,6 +1,6 @@
 """HTTP/1.1 with JSON bodies over connections that are kept open."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
 from typing import Final, NamedTuple
 
 import curio
@@ -19,10 +19,14 @@
 
 
 class Reply(NamedTuple):
-    """A whole answer."""
+    """A whole answer.
+
+    :param headers: values by name in lower case.
+    """
 
     status: int
     body: bytes
+    headers: Mapping[str, str]
 
 
 class HttpClient:
@@ -108,14 +112,19 @@
         wire += self._http.send(h11.EndOfMessage())
         await self.sock.sendall(wire)
         status, body = 0, bytearray()
+        headers: dict[str, str] = {}
         async for event in self._read_events():
             if isinstance(event, h11.Response):
                 status = event.status_code
+                headers = {
+                    name.decode('latin-1'): text.decode('latin-1')
+                    for name, text in event.headers
+                }
             elif isinstance(event, h11.Data):
                 body += event.data
             if len(body) > _MAX_BODY_BYTES:
                 raise OSError('answer too long')
-        return Reply(status, bytes(body))
+        return Reply(status, bytes(body), headers)
 
     def try_rest(self) -> bool:
         """Make ready for the next call; tell whether there can be one."""
--- a/comfreystair/platform/store.py
+++ b/comfreystair/platform/store.py
@@ -1,7 +1,7 @@
 """The platform's metadata store."""
 
 import base64
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Final
 from urllib.parse import urlencode
 
@@ -15,6 +15,8 @@
 from comfreystair.platform.http import HttpClient, Reply
 
 _REASON_BYTES: Final = 200
+# Rises each time the store returns from an older copy.
+_ERA_HEADER: Final = 'store-era'
 _OK: Final = 200
 _NOT_FOUND: Final = 404
 _CONFLICT: Final = 412
@@ -53,13 +55,20 @@
     be made seconds later.
     """
 
-    def __init__(self, http: HttpClient, seconds: float) -> None:
+    def __init__(
+        self,
+        http: HttpClient,
+        seconds: float,
+        observe_era: Callable[[int, str], None],
+    ) -> None:
         """Take the client.
 
         :param seconds: bound on each call.
+        :param observe_era: is told the era of each answer, and its source.
         """
         self._http = http
         self._seconds = seconds
+        self._observe_era = observe_era
 
     async def read(self, key: str) -> StoredValue:
         """Return a key's content, which may be seconds old.
@@ -149,6 +158,7 @@
 
     async def _call(self, method: str, path: str, body: object = None) -> Reply:
         reply = await self._http.call(method, path, self._seconds, body)
+        self._observe_era(_parse_era(reply.headers, path), 'store')
         if reply.status in _REFUSALS:
             raise PlatformRefusedError(f'status {reply.status}', path)
         if reply.status not in {_OK, _NOT_FOUND, _CONFLICT}:
@@ -157,6 +167,14 @@
         return reply
 
 
+def _parse_era(headers: Mapping[str, str], path: str) -> int:
+    """Return the era of an answer, 0 where the store counts none."""
+    text = headers.get(_ERA_HEADER, '0')
+    if not text.isdecimal():
+        raise PlatformError(f'not an era: "{text:.40}"', path)
+    return int(text)
+
+
 def _convert(item: _Item) -> StoredValue:
     try:
         blob = base64.b64decode(item.value, validate=True)
