Reproduce both faults of a restored store with real processes

The stand-in of the platform can return to a saved copy in a new era. The stand-in writes a target's entry only when it changes, as the platform does; otherwise its revision would race ahead.

--- a/standins/platform/__main__.py
+++ b/standins/platform/__main__.py
@@ -25,6 +25,8 @@
         self._shape = shape
         self._advertised = shape.get('advertised', {})
         self._keyspace = Keyspace()
+        self._saved = self._keyspace.copy()
+        self._plan = ''
         self._is_down = False
         self._promotions: list[tuple[str, str, str]] = []
         self._groups = {
@@ -71,7 +73,7 @@
             'DbRole': 'primary' if copy.is_primary else 'replica',
             'born': 1,
         }
-        self._keyspace.put(f'servers/{ident}', _encode(entry))
+        self._keyspace.put_changed(f'servers/{ident}', _encode(entry))
 
     async def _http(self, client, _address) -> None:
         http = h11.Connection(h11.SERVER)
@@ -86,7 +88,8 @@
                 body += bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
                 status, answer = self._answer(request, body)
-                await client.sendall(_format(http, status, answer))
+                era = self._keyspace.era
+                await client.sendall(_format(http, status, answer, era))
                 http.start_next_cycle()
             else:
                 return
@@ -129,9 +132,27 @@
     def _command(self, read: dict) -> dict:
         """Do what a test asks for."""
         if 'plan' in read:
-            self._keyspace.put('op/config', _encode(read['plan']))
+            self._plan = _encode(read['plan'])
+            self._keyspace.put('op/config', self._plan)
+        if 'save' in read:
+            self._saved = self._keyspace.copy()
+        if 'restore' in read:
+            self._restore()
         if 'down' in read:
             self._is_down = read['down']
+        self._change_targets(read)
+        return {
+            'revision': self._keyspace.revision,
+            'promotions': self._promotions,
+            'runs': {
+                ident: copy.runs
+                for group in self._groups.values()
+                for ident, copy in group.copies.items()
+            },
+        }
+
+    def _change_targets(self, read: dict) -> None:
+        """Kill or revive a target."""
         if 'kill' in read:
             for group in self._groups.values():
                 if read['kill'] in group.copies:
@@ -141,23 +162,22 @@
             for group in self._groups.values():
                 if read['revive'] in group.copies:
                     group.revive(read['revive'])
-        return {
-            'promotions': self._promotions,
-            'runs': {
-                ident: copy.runs
-                for group in self._groups.values()
-                for ident, copy in group.copies.items()
-            },
-        }
+
+    def _restore(self) -> None:
+        """Return to the saved copy; the operators' newest plan stays."""
+        era = self._keyspace.era + 1
+        self._keyspace = self._saved.copy()
+        self._keyspace.era = era
+        self._keyspace.put_changed('op/config', self._plan)
 
 
 def _encode(document: dict) -> str:
     return base64.b64encode(msgspec.json.encode(document)).decode()
 
 
-def _format(http: h11.Connection, status: int, answer: dict) -> bytes:
+def _format(http: h11.Connection, status: int, answer: dict, era: int) -> bytes:
     payload = json.dumps(answer).encode()
-    headers = [('Content-Length', str(len(payload)))]
+    headers = [('Content-Length', str(len(payload))), ('Store-Era', str(era))]
     wire = http.send(h11.Response(status_code=status, headers=headers))
     wire += http.send(h11.Data(data=payload))
     return wire + http.send(h11.EndOfMessage())
--- a/standins/platform/keyspace.py
+++ b/standins/platform/keyspace.py
@@ -1,5 +1,6 @@
 """The keys of the stand-in store, with revisions and leases."""
 
+import copy
 import itertools
 import time
 
@@ -10,6 +11,7 @@
     def __init__(self) -> None:
         """Start empty."""
         self.revision = 1
+        self.era = 1
         self._items: dict[str, dict] = {}
         self._leases: dict[int, tuple[float, float]] = {}
         self._numbers = itertools.count(1)
@@ -24,6 +26,22 @@
         self.revision += 1
         self._items.pop(key, None)
 
+    def put_changed(self, key: str, encoded: str) -> None:
+        """Write a key unless it has the value already."""
+        known = self.find(key)
+        if known is None or known['Value'] != encoded:
+            self.put(key, encoded)
+
+    def copy(self) -> 'Keyspace':
+        """Return a copy of the present state."""
+        copied = Keyspace()
+        copied.revision = self.revision
+        copied.era = self.era
+        copied._items = copy.deepcopy(self._items)
+        copied._leases = dict(self._leases)
+        copied._numbers = itertools.count(max(self._leases, default=0) + 1)
+        return copied
+
     def find(self, key: str) -> dict | None:
         """Return a key's item."""
         self._expire()
