--- a/comfreystair/controllers/primary_tracking.py
+++ b/comfreystair/controllers/primary_tracking.py
@@ -18,6 +18,7 @@
 from typing import Final, NamedTuple
 
 from comfreystair.controllers.positions import Position
+from comfreystair.controllers.store_position import ABSENT, StorePosition
 
 # Validity of a proof. A longer one survives longer outages of the store, a
 # shorter one speeds up a failover while an instance can't be reached.
@@ -36,13 +37,14 @@
     :param primary: id of the target, empty while no primary is known.
     :param term: of the log that the primary writes.
     :param is_changing: the primary is being replaced.
-    :param revision: of the record in the store, 0 when there is no record.
+    :param position: of the record in the store, :data:`ABSENT` when there is
+        no record.
     """
 
     primary: str = ''
     term: int = 0
     is_changing: bool = False
-    revision: int = 0
+    position: StorePosition = ABSENT
 
 
 class PositionSample(NamedTuple):
@@ -68,7 +70,7 @@
         self._record = PrimaryRecord()
         self._proved_at = float('-inf')
         self._contact_at = float('-inf')
-        self._fenced_revision = 0
+        self._fenced_position = ABSENT
         self._samples: collections.deque[PositionSample] = collections.deque(
             maxlen=_MAX_SAMPLES
         )
@@ -89,21 +91,21 @@
         """Return the age of the newest contact, in seconds."""
         return now - max(self._contact_at, self._proved_at)
 
-    def record_contact(self, revision: int, asked_at: float) -> None:
+    def record_contact(self, position: StorePosition, asked_at: float) -> None:
         """Record that another availability zone confirmed a record.
 
-        :param revision: of the record that it confirmed.
+        :param position: of the record that it confirmed.
         :param asked_at: when it was asked.
         """
-        if revision == self._record.revision:
+        if position == self._record.position:
             self._contact_at = max(self._contact_at, asked_at)
 
-    def confirms(self, revision: int, now: float) -> bool:
+    def confirms(self, position: StorePosition, now: float) -> bool:
         """Tell whether the primary of a record is in use here.
 
-        :param revision: of the record as another instance knows it.
+        :param position: of the record as another instance knows it.
         """
-        is_same = revision == self._record.revision
+        is_same = position == self._record.position
         return is_same and bool(self.find_primary(now))
 
     def update(self, record: PrimaryRecord, asked_at: float) -> bool:
@@ -114,11 +116,11 @@
         :param asked_at: when the linearizable read of the record was sent,
             minus infinity if the record came without such a read, as in a
             notice from another instance.
-        :returns: whether the record has a higher revision than the known one.
+        :returns: whether the record has a later position than the known one.
         """
-        if record.revision < self._record.revision:
+        if record.position < self._record.position:
             return False
-        is_newer = record.revision > self._record.revision
+        is_newer = record.position > self._record.position
         if is_newer and record.primary != self._record.primary:
             self._samples.clear()
             self._proved_at = float('-inf')
@@ -131,9 +133,9 @@
             self._proved_at = max(self._proved_at, asked_at)
         return is_newer
 
-    def fence(self, revision: int) -> None:
-        """Reject the primary of any record before a revision, permanently."""
-        self._fenced_revision = max(self._fenced_revision, revision)
+    def fence(self, position: StorePosition) -> None:
+        """Reject the primary of any record before a position, permanently."""
+        self._fenced_position = max(self._fenced_position, position)
 
     def find_primary(self, now: float) -> str:
         """Return the target that may be used as primary now; empty for none.
@@ -142,7 +144,7 @@
         within :data:`PROOF_TTL_SECONDS` or without a recent contact.
         """
         record = self._record
-        if record.is_changing or self._fenced_revision > record.revision:
+        if record.is_changing or self._fenced_position > record.position:
             return ''
         return record.primary if self._is_proved(now) else ''
 
@@ -155,7 +157,7 @@
         """
         return (
             primary == self._record.primary
-            and self._fenced_revision < self._record.revision
+            and self._fenced_position < self._record.position
             and self._is_proved(now)
         )
 
--- a/comfreystair/coordination/contacts.py
+++ b/comfreystair/coordination/contacts.py
@@ -17,6 +17,7 @@
     PROOF_TTL_SECONDS,
     PrimaryTracker,
 )
+from comfreystair.controllers.store_position import StorePosition
 from comfreystair.coordination.concurrency import run_concurrently
 from comfreystair.coordination.jitter import add_jitter
 from comfreystair.coordination.records import InstanceRecord
@@ -62,14 +63,17 @@
     async def refresh(self) -> None:
         """Ask other zones about all primaries whose contact grows old."""
         now = read_clock()
-        revisions = {
-            name: group.primary_tracker.record.revision
+        positions = {
+            name: group.primary_tracker.record.position
             for name, group in self._state.groups.items()
             if _needs_refresh(group.primary_tracker, now)
         }
-        if not revisions:
+        if not positions:
             return
-        request = definitions.ContactRequest(revisions=revisions)
+        request = definitions.ContactRequest(
+            revisions={name: one.revision for name, one in positions.items()},
+            eras={name: one.era for name, one in positions.items()},
+        )
 
         async def ask(instance: InstanceRecord) -> None:
             answer = await self._peers.call(
@@ -80,9 +84,9 @@
                 _REQUEST_TIMEOUT_SECONDS,
             )
             for name in answer.groups or ():
-                if name in revisions:
+                if name in positions:
                     tracker = self._state.find_group(name).primary_tracker
-                    tracker.record_contact(revisions[name], now)
+                    tracker.record_contact(positions[name], now)
 
         await run_concurrently(ask, self._choose_instances())
 
@@ -95,12 +99,15 @@
         if not self._is_registered():
             return definitions.ContactReply(groups=[])
         groups = self._state.groups
+        eras = request.eras or {}
         return definitions.ContactReply(
             groups=[
                 name
                 for name, revision in (request.revisions or {}).items()
                 if name in groups
-                and groups[name].primary_tracker.confirms(revision, now)
+                and groups[name].primary_tracker.confirms(
+                    StorePosition(eras.get(name, 0), revision), now
+                )
             ]
         )
 
--- a/comfreystair/coordination/failover.py
+++ b/comfreystair/coordination/failover.py
@@ -1,7 +1,7 @@
 """Failover of a database group's primary.
 
 The coordinator holds a lease of the store during a failover, and the store
-revision at which it took the lease is the fencing token. The steps are:
+position at which it took the lease is the fencing token. The steps are:
 
 1. Mark the group's record as changing.
 2. Make every instance stop using the old primary. If an instance does not
@@ -32,6 +32,7 @@
     PROOF_TTL_SECONDS,
     PrimaryRecord,
 )
+from comfreystair.controllers.store_position import ABSENT, StorePosition
 from comfreystair.coordination.exceptions import FailoverError
 from comfreystair.coordination.failover_notices import (
     Broadcast,
@@ -44,6 +45,7 @@
     Committed,
     GroupRecord,
     InstanceRecord,
+    Lease,
     StoreClient,
     decode_instance,
     decode_primary_record,
@@ -81,10 +83,10 @@
 
     :param group: name of the database group.
     :param old_record: the group's record before the failover.
-    :param fencing_token: store revision of the announcement. It is passed
-        with the promotion, which is thereby rejected after a later failover
-        has begun.
-    :param lease: id of the failover lease in the store.
+    :param announced: store position of the announcement. It is passed with
+        the promotion as the fencing token, so that the promotion is rejected
+        after a later failover has begun.
+    :param lease: the failover lease in the store.
     :param lease_ends_at: when the lease expires, on this instance's clock.
     :param is_planned: the old primary is to leave the group and still runs.
     :param log_end: end of the old primary's log; nothing while it is not known.
@@ -93,8 +95,8 @@
 
     group: str
     old_record: PrimaryRecord
-    fencing_token: int
-    lease: int
+    announced: StorePosition
+    lease: Lease
     lease_ends_at: float
     is_planned: bool
     log_end: Position | None = None
@@ -172,7 +174,7 @@
             old_record.primary, old_record.term, is_changing=True
         )
         outcome = await self._store.compare_and_set(
-            {lease_key: 0, key: old_record.revision},
+            {lease_key: ABSENT, key: old_record.position},
             {
                 lease_key: encode_record(self._state.own),
                 key: encode_record(record),
@@ -192,13 +194,13 @@
             why=reason,
             primary=old_record.primary,
             term=old_record.term,
-            token=outcome.revision,
+            token=outcome.position.fencing_token,
         )
         lease_ends_at = asked_at + LEASE_TTL_SECONDS
         return Failover(
             name,
             old_record,
-            outcome.revision,
+            outcome.position,
             lease,
             lease_ends_at,
             is_planned,
@@ -228,7 +230,7 @@
         announced_at = read_clock()
         recipients = await self._list_recipients(failover, announced_at)
         record = failover.old_record._replace(
-            is_changing=True, revision=failover.fencing_token
+            is_changing=True, position=failover.announced
         )
         broadcast = await self._notices.broadcast(
             failover.group, record, set(recipients)
@@ -426,15 +428,14 @@
         :returns: its term; 0 when it is not running or does not become primary
             in time.
         """
-        is_running = await self._promote(
-            failover.group, successor.ident, failover.fencing_token
-        )
+        token = failover.announced.fencing_token
+        is_running = await self._promote(failover.group, successor.ident, token)
         self._log.write(
             'change_promoted',
             group=failover.group,
             target=successor.ident,
             received=successor.received,
-            token=failover.fencing_token,
+            token=token,
             is_running=is_running,
         )
         if not is_running:
@@ -460,11 +461,11 @@
         outcome = await self._retry(
             failover,
             lambda: self._store.compare_and_set(
-                {key: failover.fencing_token}, {key: content}
+                {key: failover.announced}, {key: content}
             ),
         )
         if isinstance(outcome, Committed):
-            return PrimaryRecord(primary, term, False, outcome.revision)
+            return PrimaryRecord(primary, term, False, outcome.position)
         # An earlier attempt of this write may have taken effect although its
         # answer was lost. Then the conflict is with the instance's own write.
         found = decode_primary_record(outcome.items.get(key))
--- a/comfreystair/coordination/failover_notices.py
+++ b/comfreystair/coordination/failover_notices.py
@@ -162,7 +162,7 @@
         group.update_record(record, float('-inf'))
         if record.is_changing:
             await _drain_writes(group)
-            group.primary_tracker.fence(record.revision)
+            group.primary_tracker.fence(record.position)
         else:
             await self._refresh_proofs()
         await group.notify_waiters()
--- a/comfreystair/coordination/heartbeat.py
+++ b/comfreystair/coordination/heartbeat.py
@@ -2,7 +2,7 @@
 
 A proof shows that the plan or a group's record was the newest in the store at
 a time. To get one, the heartbeat sends the store a transaction without writes
-whose conditions are the revisions known here. Success proves that all of them
+whose conditions are the positions known here. Success proves that all of them
 are the newest; a conflict returns the newer ones. The instance's own
 registration is one of the conditions, so a proof implies that an instance that
 runs a failover finds this one in the list.
@@ -15,6 +15,7 @@
 
 from comfreystair.clocks import read_clock
 from comfreystair.controllers.primary_tracking import PROOF_TTL_SECONDS
+from comfreystair.controllers.store_position import ABSENT, StorePosition
 from comfreystair.coordination.jitter import add_jitter
 from comfreystair.coordination.plan_cache import PlanCache
 from comfreystair.coordination.proofs import (
@@ -24,9 +25,11 @@
 from comfreystair.coordination.records import (
     GROUPS_PREFIX,
     INSTANCES_PREFIX,
+    MISSING,
     Committed,
     Conflict,
     InstanceRecord,
+    Lease,
     StoreClient,
     StoredValue,
     decode_primary_record,
@@ -81,8 +84,8 @@
         self._plans = plans
         self._log = log
         self._own_key = f'{INSTANCES_PREFIX}{state.own.name}'
-        self._own_revision = 0
-        self._lease = 0
+        self._own_position = ABSENT
+        self._lease: Lease | None = None
         self._registered_at = float('inf')
         self._renewed_at = float('-inf')
         self._renewal_tried_at = float('-inf')
@@ -106,7 +109,7 @@
         """
         now = read_clock()
         return (
-            bool(self._own_revision)
+            self._own_position.is_set
             and now - self._registered_at > PROOF_TTL_SECONDS
             and now - self._renewed_at < REGISTRATION_TTL_SECONDS
         )
@@ -169,16 +172,16 @@
         An instance that is not registered writes nothing: without a lease, its
         record would stay in the store for good.
         """
-        if not self._own_revision:
+        if not self._own_position.is_set:
             return
         outcome = await self._store.compare_and_set(
-            {self._own_key: self._own_revision},
+            {self._own_key: self._own_position},
             {self._own_key: encode_record(own)},
             self._lease,
             (self._own_key,),
         )
         if isinstance(outcome, Committed):
-            self._own_revision = outcome.revision
+            self._own_position = outcome.position
 
     async def _refresh(self) -> None:
         """Get proofs from the zone's reader, the store or other zones.
@@ -208,10 +211,7 @@
 
     async def _read_store(self) -> None:
         """Keep the registration and get all proofs from the store."""
-        if self._own_revision:
-            await self._renew()
-        else:
-            await self._register()
+        await self._keep_registration()
         groups = self._list_groups()
         batch_size = _MAX_KEYS - 2
         for start in range(0, max(len(groups), 1), batch_size):
@@ -241,7 +241,7 @@
             return
         self._renewal_tried_at = now
         try:
-            await (self._renew() if self._own_revision else self._register())
+            await self._keep_registration()
         except ComfreystairError as error:
             self._log.write('registration_not_renewed', reason=error)
 
@@ -252,26 +252,26 @@
         """
         state = self._state
         expected = {
-            self._plan_key: self._plans.revision,
-            self._own_key: self._own_revision,
+            self._plan_key: self._plans.position,
+            self._own_key: self._own_position,
         }
         for group in groups:
             record = state.find_group(group).primary_tracker.record
-            expected[f'{GROUPS_PREFIX}{group}'] = record.revision
+            expected[f'{GROUPS_PREFIX}{group}'] = record.position
         asked_at = read_clock()
         outcome = await self._store.compare_and_set(expected)
         self._state.store_read_at = asked_at
         if isinstance(outcome, Conflict):
             await self._apply_conflict(expected, outcome, groups, asked_at)
             return
-        if self._plans.revision:
+        if self._plans.position.is_set:
             self._plans.record_proof(asked_at)
         for group in groups:
             await self._update_group(group, None, asked_at)
 
     async def _apply_conflict(
         self,
-        expected: dict[str, int],
+        expected: dict[str, StorePosition],
         conflict: Conflict,
         groups: list[str],
         asked_at: float,
@@ -283,25 +283,19 @@
         that a new plan adds are read by the next refresh.
         """
         current = conflict.items
-        missing = StoredValue(b'', 0)
         self._log.write(
-            'conditions_not_met',
-            keys=','.join(
-                f'{key}:{revision}/{current.get(key, missing).revision}'
-                for key, revision in expected.items()
-                if current.get(key, missing).revision != revision
-            ),
+            'conditions_not_met', keys=_describe_differences(expected, current)
         )
-        if current.get(self._own_key, missing).revision != self._own_revision:
-            self._own_revision = 0
+        own = current.get(self._own_key, MISSING)
+        if own.position != self._own_position:
+            self._own_position = ABSENT
             await self._wake.set()
             return
-        plan = current.get(self._plan_key, missing)
-        if plan.revision:
-            self._plans.update(plan, asked_at, 'store')
+        plan = current.get(self._plan_key, MISSING)
+        self._plans.update(plan, asked_at, 'store')
         for group in groups:
             key = f'{GROUPS_PREFIX}{group}'
-            stored = current.get(key, missing)
+            stored = current.get(key, MISSING)
             await self._update_group(group, stored, asked_at)
         if set(self._list_groups()) - set(groups):
             await self._wake.set()
@@ -328,6 +322,13 @@
             return []
         return sorted({route.group for route in plan.routes.values()})
 
+    async def _keep_registration(self) -> None:
+        """Renew the registration if it is due, or register the instance."""
+        if self._own_position.is_set:
+            await self._renew()
+        else:
+            await self._register()
+
     async def _register(self) -> None:
         """Write this instance's registration, in place of an earlier run's.
 
@@ -335,12 +336,12 @@
         refresh asks for a new one.
         """
         asked_at = read_clock()
-        if not self._lease:
+        if self._lease is None:
             self._lease = await self._store.grant_lease(
                 REGISTRATION_TTL_SECONDS
             )
         content = encode_record(self._state.own)
-        expected = {self._own_key: self._own_revision}
+        expected = {self._own_key: self._own_position}
         for _ in range(_MAX_REGISTER_ATTEMPTS):
             outcome = await self._store.compare_and_set(
                 expected,
@@ -349,15 +350,15 @@
                 (self._own_key,),
             )
             if isinstance(outcome, Committed):
-                self._own_revision = outcome.revision
+                self._own_position = outcome.position
                 self._renewed_at = asked_at
                 self._registered_at = read_clock()
                 return
             current = outcome.items.get(self._own_key)
             if current is None and not outcome.items:
-                self._lease = 0
+                self._lease = None
                 return
-            expected = {self._own_key: current.revision if current else 0}
+            expected = {self._own_key: current.position if current else ABSENT}
 
     async def _renew(self) -> None:
         """Renew the registration's lease if it is due.
@@ -367,11 +368,12 @@
         asked_at = read_clock()
         if asked_at - self._renewed_at < _RENEW_INTERVAL_SECONDS:
             return
-        if await self._store.renew_lease(self._lease):
+        lease = self._lease
+        if lease is not None and await self._store.renew_lease(lease):
             self._renewed_at = asked_at
         else:
-            self._lease = 0
-            self._own_revision = 0
+            self._lease = None
+            self._own_position = ABSENT
             await self._register()
 
     def _set_reached(self, is_reached: bool, reason: str) -> None:
@@ -381,3 +383,19 @@
             event = 'proofs_regained' if is_reached else 'proofs_lost'
             age = self._state.find_plan_age(read_clock())
             self._log.write(event, reason=reason, proof_age=age)
+
+
+def _describe_differences(
+    expected: dict[str, StorePosition], current: dict[str, StoredValue]
+) -> str:
+    """Return the keys that differ, each with its known and present position."""
+    found = {key: current.get(key, MISSING).position for key in expected}
+    return ','.join(
+        f'{key}:{_format(position)}/{_format(found[key])}'
+        for key, position in expected.items()
+        if found[key] != position
+    )
+
+
+def _format(position: StorePosition) -> str:
+    return f'{position.era}.{position.revision}'
--- a/comfreystair/coordination/keeper_election.py
+++ b/comfreystair/coordination/keeper_election.py
@@ -12,6 +12,7 @@
 import curio
 
 from comfreystair.clocks import read_clock
+from comfreystair.controllers.store_position import ABSENT, StorePosition
 from comfreystair.coordination.jitter import add_jitter
 from comfreystair.coordination.rate_limiter import TokenKeeper
 from comfreystair.coordination.records import (
@@ -19,6 +20,7 @@
     Committed,
     Conflict,
     InstanceRecord,
+    Lease,
     StoreClient,
     StoredValue,
     decode_instance,
@@ -74,7 +76,7 @@
         self._keeper = keeper
         self._log = log
         self._key = f'{KEEPERS_PREFIX}{state.own.zone}'
-        self._lease = 0
+        self._lease: Lease | None = None
         self._renewed_at = float('-inf')
         self._vacant_since: float | None = None
         self._last_holder: InstanceRecord | None = None
@@ -96,9 +98,9 @@
         :raises ComfreystairError: when the store does not answer.
         """
         self._keeper.stop()
-        if self._lease:
-            lease = self._lease
-            self._lease = 0
+        lease = self._lease
+        if lease is not None:
+            self._lease = None
             await self._store.revoke_lease(lease)
 
     async def _renew_or_acquire(self) -> None:
@@ -109,8 +111,8 @@
         """
         if self._state.is_draining:
             return
-        if self._lease:
-            await self._renew()
+        if self._lease is not None:
+            await self._renew(self._lease)
             return
         holder = self._state.keepers.get(self._state.own.zone)
         if holder is not None:
@@ -126,20 +128,20 @@
         if now - self._vacant_since >= self._find_rank() * _RANK_DELAY_SECONDS:
             await self._acquire()
 
-    async def _renew(self) -> None:
+    async def _renew(self, lease: Lease) -> None:
         """Renew the lease if it is due; stop being the keeper if it is lost."""
         now = read_clock()
         if now - self._renewed_at < _RENEW_INTERVAL_SECONDS:
             return
         is_expired = now - self._renewed_at >= _KEEPER_TTL_SECONDS
-        if not is_expired and await self._store.renew_lease(self._lease):
+        if not is_expired and await self._store.renew_lease(lease):
             self._renewed_at = now
             if self._keeper.extend(now + _KEEPER_TTL_SECONDS):
                 return
         # From now on this instance answers that it is not the keeper, and any
         # other may take the lease over. So this instance does not continue
         # with the old lease.
-        self._lease = 0
+        self._lease = None
         self._keeper.stop()
         self._not_granting_since = now
         self._log.write('keeper_lapsed', zone=self._state.own.zone)
@@ -153,8 +155,8 @@
         own = self._state.own
         asked_at = read_clock()
         lease = await self._store.grant_lease(_LEASE_TTL_SECONDS)
-        outcome = await self._write_holder(lease, 0)
-        revision = 0
+        position = ABSENT
+        outcome = await self._write_holder(lease, position)
         if isinstance(outcome, Conflict):
             stored = outcome.items.get(self._key)
             if stored is None or not await self._has_stored_holder_stopped(
@@ -162,8 +164,8 @@
             ):
                 await self._store.revoke_lease(lease)
                 return
-            revision = stored.revision
-            outcome = await self._write_holder(lease, revision)
+            position = stored.position
+            outcome = await self._write_holder(lease, position)
         if not isinstance(outcome, Committed):
             await self._store.revoke_lease(lease)
             return
@@ -173,16 +175,16 @@
         self._state.keepers = {**self._state.keepers, own.zone: own}
         self._keeper.start(since, asked_at + _KEEPER_TTL_SECONDS)
         self._log.write(
-            'keeper_taken', zone=own.zone, was_proved_ended=bool(revision)
+            'keeper_taken', zone=own.zone, was_proved_ended=position.is_set
         )
 
     async def _write_holder(
-        self, lease: int, revision: int
+        self, lease: Lease, position: StorePosition
     ) -> Committed | Conflict:
-        """Write this instance as holder if the key still has a revision."""
+        """Write this instance as holder if the key still has a position."""
         content = encode_record(self._state.own)
         return await self._store.compare_and_set(
-            {self._key: revision}, {self._key: content}, lease, (self._key,)
+            {self._key: position}, {self._key: content}, lease, (self._key,)
         )
 
     async def _find_start_time(self) -> float:
@@ -223,7 +225,7 @@
         own = self._state.own
         if holder.name == own.name:
             is_same = holder.incarnation == own.incarnation
-            return not (is_same and self._lease)
+            return not (is_same and self._lease is not None)
         if self._find_rank() > _MAX_ASKING_RANK:
             return False
         return await has_stopped(self._peers, holder)
--- a/comfreystair/coordination/plan_cache.py
+++ b/comfreystair/coordination/plan_cache.py
@@ -6,7 +6,8 @@
 
 from collections.abc import Callable
 
-from comfreystair.coordination.records import StoredValue
+from comfreystair.controllers.store_position import StorePosition
+from comfreystair.coordination.records import MISSING, StoredValue
 from comfreystair.coordination.state import FleetState
 from comfreystair.exceptions import ComfreystairError
 from comfreystair.manifest.serving import ServingPlan
@@ -17,7 +18,12 @@
 
 
 class PlanCache:
-    """Holds the newest plan and never replaces it by an older one."""
+    """Holds the newest plan and never replaces it by an older one.
+
+    The version that the operators gave tells which of two plans is newer. The
+    position in the store does not: after a restore, the newest version can be
+    at an earlier revision than before, and an older version can be stored.
+    """
 
     def __init__(
         self, state: FleetState, parse: ParsePlan, log: DecisionLog
@@ -31,33 +37,53 @@
         self._state = state
         self._parse = parse
         self._log = log
-        self._stored = StoredValue(b'', 0)
+        self._stored = MISSING
+
+    @property
+    def position(self) -> StorePosition:
+        """Return where the newest plan was last read in the store."""
+        return self._stored.position
 
     @property
-    def revision(self) -> int:
-        """Return the newest plan's revision, 0 before the first."""
-        return self._stored.revision
+    def version(self) -> int:
+        """Return the newest plan's version, 0 before the first."""
+        plan = self._state.plan
+        return 0 if plan is None else plan.version
 
     def update(self, stored: StoredValue, asked_at: float, source: str) -> None:
         """Apply a plan as it was read, unless it is older than the known one.
 
-        A plan that can't be parsed is logged and ignored.
+        An older plan proves nothing, as the known one was acknowledged too. A
+        plan that can't be parsed is logged and ignored.
 
         :param asked_at: when the read was sent, if it proves that the plan was
             the newest at that time; else negative infinity.
         :param source: where it was read, for the log.
         """
-        if stored.revision > self.revision:
-            self._activate(stored, asked_at, source)
-        elif stored.revision < self.revision:
+        if stored.position == self.position:
+            self.record_proof(asked_at)
+            return
+        if not stored.position.is_set:
+            return
+        plan = self._parse_plan(stored)
+        if plan is None:
+            if stored.position > self.position:
+                self.record_proof(asked_at)
+            return
+        if plan.version < self.version:
             self._log.write(
                 'plan_set_aside',
-                revision=stored.revision,
-                known_revision=self.revision,
+                version=plan.version,
+                known_version=self.version,
+                era=stored.position.era,
+                revision=stored.position.revision,
                 source=source,
             )
-        if stored.revision >= self.revision:
-            self.record_proof(asked_at)
+            return
+        if plan.version > self.version:
+            self._activate(plan, stored, asked_at, source)
+        self._stored = max(self._stored, stored, key=_get_position)
+        self.record_proof(asked_at)
 
     def record_proof(self, asked_at: float) -> None:
         """Record that the known plan was the newest at a time."""
@@ -67,27 +93,43 @@
     async def handle_request(self, _request: object) -> object:
         """Return the newest plan to another instance."""
         return definitions.PlanDocument(
-            revision=self._stored.revision, content=self._stored.blob
+            revision=self._stored.position.revision,
+            era=self._stored.position.era,
+            content=self._stored.blob,
         )
 
-    def _activate(
-        self, stored: StoredValue, asked_at: float, source: str
-    ) -> None:
-        """Parse a newer plan and put it in force."""
+    def _parse_plan(self, stored: StoredValue) -> ServingPlan | None:
         try:
-            plan = self._parse(stored)
+            return self._parse(stored)
         except ComfreystairError as error:
             self._log.write(
-                'plan_refused', revision=stored.revision, reason=error
+                'plan_refused',
+                era=stored.position.era,
+                revision=stored.position.revision,
+                reason=error,
             )
-            return
+            return None
+
+    def _activate(
+        self,
+        plan: ServingPlan,
+        stored: StoredValue,
+        asked_at: float,
+        source: str,
+    ) -> None:
+        """Put a newer plan in force."""
         self._stored = stored
         self._state.plan = plan
         self._log.write(
             'plan_in_force',
             version=plan.version,
-            revision=plan.revision,
+            era=stored.position.era,
+            revision=stored.position.revision,
             routes=len(plan.routes),
             source=source,
             asked_at=asked_at,
         )
+
+
+def _get_position(stored: StoredValue) -> StorePosition:
+    return stored.position
--- a/comfreystair/coordination/proofs.py
+++ b/comfreystair/coordination/proofs.py
@@ -16,13 +16,14 @@
     PROOF_TTL_SECONDS,
     PrimaryRecord,
 )
+from comfreystair.controllers.store_position import StorePosition
 from comfreystair.coordination.plan_cache import PlanCache
 from comfreystair.coordination.records import InstanceRecord, StoredValue
 from comfreystair.coordination.rendezvous import find_rank
 from comfreystair.coordination.state import FleetState
 from comfreystair.exceptions import ComfreystairError
 from comfreystair.observability.decisions import DecisionLog
-from comfreystair.peers import PeerClients, PeerError
+from comfreystair.peers import PeerClients
 from comfreystair.peers.messages import definitions
 
 # Timeout of a request for proofs.
@@ -106,7 +107,9 @@
         now = read_clock()
         self._followers[request.address] = now
         return definitions.Proof(
-            plan_revision=self._plans.revision,
+            era=self._state.store_era.current,
+            plan_version=self._plans.version,
+            plan_revision=self._plans.position.revision,
             plan_age_seconds=self._state.find_plan_age(now),
             store_age_seconds=now - self._state.store_read_at,
             groups=[
@@ -136,16 +139,18 @@
                 definitions.Proof,
                 _PROOF_TIMEOUT_SECONDS,
             )
+            self._state.store_era.observe(proof.era or 0, source.name)
             await self._fetch_newer_plan(source, proof)
-        except PeerError as error:
+        except ComfreystairError as error:
             self._avoid(source, str(error))
             return False
-        if not proof.plan_revision and not self._plans.revision:
+        version = proof.plan_version or 0
+        if not version and not self._plans.version:
             # Neither side has a plan. That is a proof as well, if the source
             # has read the store recently.
             return proof.store_age_seconds <= _MAX_PROOF_AGE_SECONDS
         is_stale = proof.plan_age_seconds > _MAX_PROOF_AGE_SECONDS
-        if is_stale or proof.plan_revision < self._plans.revision:
+        if is_stale or version < self._plans.version:
             self._avoid(
                 source,
                 f'outdated proof or plan, {proof.plan_age_seconds:.1f} s old',
@@ -171,7 +176,8 @@
 
         :raises PeerError: when the source does not return the plan either.
         """
-        if proof.plan_revision <= self._plans.revision:
+        version = proof.plan_version or 0
+        if version <= self._plans.version:
             return
         try:
             found = await self._read_plan()
@@ -179,7 +185,7 @@
             self._log.write('plan_not_fetched', reason=error)
         else:
             self._plans.update(found, float('-inf'), 'store')
-        if proof.plan_revision <= self._plans.revision:
+        if version <= self._plans.version:
             return
         document = await self._peers.call(
             source.address,
@@ -188,7 +194,8 @@
             definitions.PlanDocument,
             _PLAN_TIMEOUT_SECONDS,
         )
-        stored = StoredValue(document.content, document.revision)
+        position = StorePosition(document.era or 0, document.revision)
+        stored = StoredValue(document.content, position)
         self._plans.update(stored, float('-inf'), source.name)
 
     def _avoid(self, source: InstanceRecord, reason: str) -> None:
@@ -244,7 +251,8 @@
             primary=record.primary,
             term=record.term,
             is_changing=record.is_changing,
-            revision=record.revision,
+            era=record.position.era,
+            revision=record.position.revision,
             proof_age=age,
         )
     await group.notify_waiters()
@@ -257,12 +265,14 @@
         primary=record.primary,
         term=record.term,
         is_changing=record.is_changing,
-        revision=record.revision,
+        revision=record.position.revision,
+        era=record.position.era,
     )
 
 
 def decode_notice(notice) -> PrimaryRecord:
     """Decode a group's record from a message of another instance."""
+    position = StorePosition(notice.era or 0, notice.revision)
     return PrimaryRecord(
-        notice.primary, notice.term, notice.is_changing, notice.revision
+        notice.primary, notice.term, notice.is_changing, position
     )
--- a/comfreystair/coordination/records.py
+++ b/comfreystair/coordination/records.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from comfreystair.controllers.primary_tracking import PrimaryRecord
+from comfreystair.controllers.store_position import ABSENT, StorePosition
 
 _PREFIX: Final = 'comfreystair/'
 INSTANCES_PREFIX: Final = f'{_PREFIX}instances/'
@@ -14,27 +15,37 @@
 RECORDS_PREFIX: Final = _PREFIX
 
 
+class Lease(NamedTuple):
+    """A lease of the store, with the era in which it was granted."""
+
+    era: int
+    ident: int
+
+
 class StoredValue(NamedTuple):
     """The value of a key in the store.
 
     :param blob: the value; empty when the key does not exist.
-    :param revision: store revision of the key's last change, 0 when the key
-        does not exist.
-    :param lease: id of the lease that the key is deleted with, 0 for none.
+    :param position: position of the key's last change, :data:`ABSENT` when
+        the key does not exist.
+    :param lease_id: id of the lease that the key is deleted with, 0 for none.
     """
 
     blob: bytes
-    revision: int
-    lease: int = 0
+    position: StorePosition
+    lease_id: int = 0
+
+
+MISSING: Final = StoredValue(b'', ABSENT)
 
 
 class Committed(NamedTuple):
     """A transaction that took effect.
 
-    :param revision: store revision of the keys that it wrote.
+    :param position: position of the keys that it wrote.
     """
 
-    revision: int
+    position: StorePosition
 
 
 class Conflict(NamedTuple):
@@ -102,30 +113,30 @@
         self,
         expected,
         writes=None,
-        lease: int = 0,
+        lease: Lease | None = None,
         leased: tuple[str, ...] = (),
     ) -> Committed | Conflict:
-        """Write keys if all expected revisions are current.
+        """Write keys if all expected positions are current.
 
         All writes take effect, or none. A call without writes only checks the
-        revisions.
+        positions.
 
-        :param expected: revision by key, 0 for a key that must not exist.
+        :param expected: position by key, :data:`ABSENT` for a key that must
+            not exist.
         :param writes: value by key.
-        :param lease: id of a lease.
         :param leased: those of the written keys that are bound to the lease.
         """
 
-    async def grant_lease(self, seconds: float) -> int:
-        """Create a lease with a TTL in seconds and return its id."""
+    async def grant_lease(self, seconds: float) -> Lease:
+        """Create a lease with a TTL in seconds."""
 
-    async def renew_lease(self, lease: int) -> bool:
+    async def renew_lease(self, lease: Lease) -> bool:
         """Renew a lease.
 
         :returns: whether the lease had not expired.
         """
 
-    async def revoke_lease(self, lease: int) -> None:
+    async def revoke_lease(self, lease: Lease) -> None:
         """Revoke a lease and delete the keys that are bound to it."""
 
 
@@ -140,14 +151,14 @@
     A record that can't be decoded counts as changing, so that its primary is
     not used.
     """
-    if item is None or not item.revision:
+    if item is None or not item.position.is_set:
         return PrimaryRecord()
     try:
         record = msgspec.json.decode(item.blob, type=GroupRecord)
     except msgspec.DecodeError:
-        return PrimaryRecord(is_changing=True, revision=item.revision)
+        return PrimaryRecord(is_changing=True, position=item.position)
     return PrimaryRecord(
-        record.primary, record.term, record.is_changing, item.revision
+        record.primary, record.term, record.is_changing, item.position
     )
 
 
--- a/comfreystair/coordination/service_discovery.py
+++ b/comfreystair/coordination/service_discovery.py
@@ -13,6 +13,7 @@
 
 from comfreystair.clocks import read_clock
 from comfreystair.controllers.change_tracking import ChangeTracker
+from comfreystair.controllers.store_position import StorePosition
 from comfreystair.coordination.jitter import add_jitter
 from comfreystair.coordination.proofs import ProofExchange
 from comfreystair.coordination.records import (
@@ -129,6 +130,7 @@
         since = request.version if request.incarnation == own else -1
         changes = self._change_tracker.find_changes(since)
         return definitions.Lists(
+            era=self._state.store_era.current,
             incarnation=own,
             version=changes.version,
             age_seconds=read_clock() - self._state.lists_read_at,
@@ -151,7 +153,7 @@
             listed = [
                 definitions.ListedItem(
                     key=key,
-                    revision=self._items[key].revision,
+                    revision=self._items[key].position.revision,
                     content=self._items[key].blob,
                 )
                 for key in keys
@@ -199,22 +201,20 @@
                 definitions.Lists,
                 _REQUEST_TIMEOUT_SECONDS,
             )
+            self._state.store_era.observe(lists.era or 0, source.name)
             changed = _decompress(lists.packed)
-        except PeerError as error:
+        except ComfreystairError as error:
             self._log.write('lists_not_taken', source=source.name, why=error)
             return False
         read_at = asked_at - lists.age_seconds
-        is_stale = lists.age_seconds > _MAX_LISTS_AGE_SECONDS
-        if is_stale or read_at < self._state.lists_read_at:
+        oldest = max(
+            asked_at - _MAX_LISTS_AGE_SECONDS, self._state.lists_read_at
+        )
+        if read_at < oldest:
             return False
-        items = {} if lists.is_whole else dict(self._items)
-        for key in lists.gone or ():
-            items.pop(key, None)
-        for one in changed:
-            items[one.key] = StoredValue(one.content or b'', one.revision)
         self._source_incarnation = lists.incarnation
         self._source_version = lists.version
-        self._apply(items, read_at)
+        self._apply(_merge(self._items, lists, changed), read_at)
         return True
 
     def _apply(self, items: dict[str, StoredValue], read_at: float) -> None:
@@ -277,6 +277,19 @@
         state.keepers = _decode_instances(items, KEEPERS_PREFIX)
 
 
+def _merge(
+    known: dict[str, StoredValue], lists, changed: list
+) -> dict[str, StoredValue]:
+    """Return the known items with the changes that another instance sent."""
+    items = {} if lists.is_whole else dict(known)
+    for key in lists.gone or ():
+        items.pop(key, None)
+    for one in changed:
+        position = StorePosition(lists.era or 0, one.revision)
+        items[one.key] = StoredValue(one.content or b'', position)
+    return items
+
+
 def _decompress(packed: bytes) -> list:
     """Decompress and decode the items that another instance sent.
 
--- a/comfreystair/coordination/state.py
+++ b/comfreystair/coordination/state.py
@@ -10,12 +10,14 @@
     PrimaryRecord,
     PrimaryTracker,
 )
+from comfreystair.controllers.store_position import StorePosition
 from comfreystair.coordination.records import InstanceRecord
+from comfreystair.coordination.store_era import StoreEra
 from comfreystair.manifest.serving import ServingPlan
 from comfreystair.pooling.targets import TargetEntry
 
-# Higher than any revision of the store.
-_LAST_REVISION: Final = sys.maxsize
+# Later than any position in the store.
+_LAST_POSITION: Final = StorePosition(sys.maxsize, sys.maxsize)
 
 
 class GroupState:
@@ -99,6 +101,7 @@
     Times are readings of :func:`~comfreystair.clocks.read_clock`, in seconds.
 
     :ivar own: record of this instance.
+    :ivar store_era: the era of the store.
     :ivar plan: the plan in force; nothing before the first.
     :ivar plan_proved_at: when the plan was last proved to be the newest.
     :ivar store_read_at: when the last read of the store was sent that got an
@@ -116,6 +119,7 @@
     def __init__(self, own: InstanceRecord) -> None:
         """Initialise a fleet that consists of this instance alone."""
         self.own = own
+        self.store_era = StoreEra()
         self.plan: ServingPlan | None = None
         self.plan_proved_at = float('-inf')
         self.store_read_at = float('-inf')
@@ -145,7 +149,7 @@
     def stop_using_primaries(self) -> None:
         """Stop using all primaries, as the last step of a shutdown."""
         for group in self._groups.values():
-            group.primary_tracker.fence(_LAST_REVISION)
+            group.primary_tracker.fence(_LAST_POSITION)
 
     def list_targets(self, group: str) -> list[TargetEntry]:
         """Return a group's targets."""
--- a/comfreystair/coordination/store_era.py
+++ b/comfreystair/coordination/store_era.py
@@ -1,12 +1,16 @@
 """The era of the platform's store.
 
-The store counts its eras: a new one begins when it returns from a copy that
-lacks its last writes. Revisions and leases mean nothing in another era, as the
-store gives them out again.
+A new era begins each time the store returns from a copy that lacks its last
+writes. What was read, written or leased in an earlier era need not be in the
+store any more.
 """
 
+from collections.abc import Callable
+
 from comfreystair.clocks import read_clock
-from comfreystair.observability.decisions import DecisionLog
+from comfreystair.coordination.exceptions import StoreRestoredError
+
+OnNewEra = Callable[[int, int, str], None]
 
 
 class StoreEra:
@@ -17,23 +21,34 @@
     :ivar seen_at: when this instance first heard of it.
     """
 
-    def __init__(self, log: DecisionLog) -> None:
-        """Initialise before the first answer.
-
-        :param log: receives an event when a new era begins.
-        """
+    def __init__(self) -> None:
+        """Initialise before the first answer."""
         self.current = 0
         self.seen_at = read_clock()
-        self._log = log
+        self._listeners: list[OnNewEra] = []
+
+    def add_listener(self, listener: OnNewEra) -> None:
+        """Have a function called when a new era begins.
+
+        :param listener: is given the era, the previous one and who told.
+        """
+        self._listeners.append(listener)
 
     def observe(self, era: int, source: str) -> None:
-        """Record the era of an answer.
+        """Record the era in which an answer was given.
 
-        :param source: who gave the answer, for the log.
+        :param source: who gave the answer.
+        :raises StoreRestoredError: when the answer is of an earlier era, and
+            so outdated.
         """
-        if era > self.current:
-            self._log.write(
-                'store_era', era=era, previous=self.current, source=source
+        if era < self.current:
+            raise StoreRestoredError(
+                f'answer of era {era}, the store is in {self.current}', source
             )
-            self.current = era
-            self.seen_at = read_clock()
+        if era == self.current:
+            return
+        previous = self.current
+        self.current = era
+        self.seen_at = read_clock()
+        for listener in self._listeners:
+            listener(era, previous, source)
--- a/comfreystair/entry.py
+++ b/comfreystair/entry.py
@@ -30,8 +30,8 @@
 from comfreystair.coordination.rate_limiter import RateLimiter, TokenKeeper
 from comfreystair.coordination.records import InstanceRecord
 from comfreystair.coordination.service_discovery import ServiceDiscovery
+from comfreystair.coordination.restorable_store import RestorableStore
 from comfreystair.coordination.state import FleetState
-from comfreystair.coordination.store_era import StoreEra
 from comfreystair.coordination.target_prober import TargetProber
 from comfreystair.dialing import build_dialer
 from comfreystair.exceptions import ComfreystairError
@@ -114,11 +114,15 @@
         )
         self._state = FleetState(own)
         self._dial = _bound_silence(build_dialer(instance.address))
-        self._store_era = StoreEra(self._log)
-        store = Store(
-            HttpClient(self._dial, settings.store.address),
-            _STORE_SECONDS,
-            self._store_era.observe,
+        era = self._state.store_era
+        era.add_listener(self._log_era)
+        store = RestorableStore(
+            Store(
+                HttpClient(self._dial, settings.store.address),
+                _STORE_SECONDS,
+                era.observe,
+            ),
+            era,
         )
         self._peers = PeerClients(self._dial, _PEER_SECONDS, '')
         self._plans = PlanCache(self._state, parse_plan, self._log)
@@ -288,6 +292,9 @@
             'identify': Method(definitions.Empty, self._identify),
         }
 
+    def _log_era(self, era: int, previous: int, source: str) -> None:
+        self._log.write('store_era', era=era, previous=previous, source=source)
+
     async def _identify(self, _request: object) -> object:
         return definitions.Identity(
             incarnation=self._state.own.incarnation,
@@ -338,7 +345,7 @@
         gauges = {
             'sessions': float(len(self._desk.sessions)),
             'plan_age_seconds': self._state.find_plan_age(read_clock()),
-            'store_era': float(self._store_era.current),
+            'store_era': float(self._state.store_era.current),
             'log_lines_left_out': float(self._log.left_out),
         }
         return _OK, self._counters.format(gauges)
--- a/comfreystair/manifest/serving.py
+++ b/comfreystair/manifest/serving.py
@@ -51,12 +51,11 @@
 class ServingPlan(NamedTuple):
     """One version of what is asked for.
 
-    :param revision: of the store, rising with each version.
+    :param version: given by the operators; a later version has a higher one.
     :param connections: limit of each target, by group.
     :param idle_seconds: how long a transaction may rest.
     """
 
-    revision: int
     version: int
     routes: dict[str, ServingRoute]
     clients: dict[str, Client]
@@ -69,7 +68,6 @@
 
 
 def build_plan(
-    revision: int,
     version: int,
     routes: Iterable[ServingRoute],
     clients: Iterable[Client],
@@ -79,7 +77,6 @@
     """Index routes by database and keys by their organisation."""
     listed = tuple(clients)
     return ServingPlan(
-        revision,
         version,
         {route.database: route for route in routes},
         {client.name: client for client in listed},
--- a/comfreystair/peers/comfreystair.thrift
+++ b/comfreystair/peers/comfreystair.thrift
@@ -116,13 +116,16 @@
     3: bool is_keeper
 }
 
+// Eras are those of the store, and belong to the revision beside them.
+
 // A group's record as it stands in the store.
 struct GroupNotice {
     1: string group,
     2: string primary,
     3: i64 term,
     4: bool is_changing,
-    5: i64 revision
+    5: i64 revision,
+    6: i64 era
 }
 
 // What the receiver last heard of the primary, in milliseconds; -1: never.
@@ -147,7 +150,9 @@
     1: i64 plan_revision,
     2: double plan_age_seconds,
     3: list<GroupProof> groups,
-    4: double store_age_seconds
+    4: double store_age_seconds,
+    5: i64 plan_version,
+    6: i64 era
 }
 
 struct GroupInquiry {
@@ -156,7 +161,8 @@
 
 struct PlanDocument {
     1: i64 revision,
-    2: binary content
+    2: binary content,
+    3: i64 era
 }
 
 struct Identity {
@@ -234,7 +240,8 @@
     3: double age_seconds,
     4: bool is_whole,
     5: binary packed,
-    6: list<string> gone
+    6: list<string> gone,
+    7: i64 era
 }
 
 // The sender can't reach a group's primary. The time is that since its oldest
@@ -247,7 +254,8 @@
 
 // Revisions of the records that the sender knows, by group.
 struct ContactRequest {
-    1: map<string, i64> revisions
+    1: map<string, i64> revisions,
+    2: map<string, i64> eras
 }
 
 // The groups whose records the receiver confirms.
--- a/comfreystair/platform/documents.py
+++ b/comfreystair/platform/documents.py
@@ -87,7 +87,6 @@
     except msgspec.DecodeError as error:
         raise MalformedError(str(error), 'plan') from error
     return build_plan(
-        item.revision,
         plan.version,
         (_convert_route(route) for route in plan.routes),
         (
--- a/comfreystair/platform/store.py
+++ b/comfreystair/platform/store.py
@@ -2,17 +2,24 @@
 
 import base64
 from collections.abc import Callable, Mapping
-from typing import Final
+from typing import Final, NamedTuple
 from urllib.parse import urlencode
 
 import msgspec
 
-from comfreystair.coordination.records import Committed, Conflict, StoredValue
+from comfreystair.controllers.store_position import StorePosition
+from comfreystair.coordination.records import (
+    MISSING,
+    Committed,
+    Conflict,
+    Lease,
+    StoredValue,
+)
 from comfreystair.platform.exceptions import (
     PlatformError,
     PlatformRefusedError,
 )
-from comfreystair.platform.http import HttpClient, Reply
+from comfreystair.platform.http import HttpClient
 
 _REASON_BYTES: Final = 200
 # Rises each time the store returns from an older copy.
@@ -47,6 +54,14 @@
     lease_id: int
 
 
+class _Answer(NamedTuple):
+    """An answer of the store, with its era."""
+
+    status: int
+    body: bytes
+    era: int
+
+
 class Store:
     """Read, compare-and-swap and lease.
 
@@ -78,8 +93,8 @@
         query = urlencode({'Key': key, 'AllowStale': '1'})
         reply = await self._call('GET', f'/kv-key?{query}')
         if reply.status == _NOT_FOUND:
-            return StoredValue(b'', 0)
-        return _convert(_decode(reply.body, _Item))
+            return MISSING
+        return _convert(_decode(reply.body, _Item), reply.era)
 
     async def list(
         self, prefix: str, is_stale_ok: bool
@@ -99,35 +114,35 @@
             reply = await self._call('GET', f'/kv-range?{urlencode(query)}')
             page = _decode(reply.body, _Range)
             for item in page.items:
-                listed[item.key] = _convert(item)
+                listed[item.key] = _convert(item, reply.era)
                 after = item.key
             if not page.has_more or not page.items:
                 return listed
 
     async def compare_and_set(
         self,
-        expected: Mapping[str, int],
+        expected: Mapping[str, StorePosition],
         writes: Mapping[str, bytes] | None = None,
-        lease: int = 0,
+        lease: Lease | None = None,
         leased: tuple[str, ...] = (),
     ) -> Committed | Conflict:
-        """Write keys if others are at their revisions, all or nothing.
+        """Write keys if others are at their positions, all or nothing.
 
         Without writes it proves that nothing has changed.
 
-        :param expected: revision by key, 0 for one that must not exist.
+        :param expected: position by key, all of the store's present era.
         :param leased: which of the written keys end with the lease.
         """
         body = {
             'Expected': [
-                {'Key': key, 'Rev': revision}
-                for key, revision in expected.items()
+                {'Key': key, 'Rev': position.revision}
+                for key, position in expected.items()
             ],
             'Writes': [
                 {
                     'Key': key,
                     'Value': base64.b64encode(blob).decode(),
-                    'LeaseId': lease if key in leased else 0,
+                    'LeaseId': lease.ident if lease and key in leased else 0,
                 }
                 for key, blob in (writes or {}).items()
             ],
@@ -136,35 +151,41 @@
         reply = await self._call('POST', '/kv-txn', body)
         if reply.status == _CONFLICT:
             found = _decode(reply.body, _Conflict)
-            return Conflict({one.key: _convert(one) for one in found.items})
+            return Conflict(
+                {one.key: _convert(one, reply.era) for one in found.items}
+            )
         if reply.status != _OK:
             return Conflict({})
-        return Committed(_decode(reply.body, _Revision).rev)
+        revision = _decode(reply.body, _Revision).rev
+        return Committed(StorePosition(reply.era, revision))
 
-    async def grant_lease(self, seconds: float) -> int:
+    async def grant_lease(self, seconds: float) -> Lease:
         """Return a new lease, which runs from the arrival of the call."""
         body = {'TtlMs': int(seconds * 1000)}
         reply = await self._call('POST', '/kv-lease', body)
-        return _decode(reply.body, _Lease).lease_id
+        return Lease(reply.era, _decode(reply.body, _Lease).lease_id)
 
-    async def renew_lease(self, lease: int) -> bool:
+    async def renew_lease(self, lease: Lease) -> bool:
         """Renew a lease; tell whether it still was one."""
-        reply = await self._call('POST', f'/kv-keep/{lease}', {})
+        reply = await self._call('POST', f'/kv-keep/{lease.ident}', {})
         return reply.status == _OK
 
-    async def revoke_lease(self, lease: int) -> None:
+    async def revoke_lease(self, lease: Lease) -> None:
         """End a lease with its keys."""
-        await self._call('DELETE', f'/kv-lease-end/{lease}')
+        await self._call('DELETE', f'/kv-lease-end/{lease.ident}')
 
-    async def _call(self, method: str, path: str, body: object = None) -> Reply:
+    async def _call(
+        self, method: str, path: str, body: object = None
+    ) -> _Answer:
         reply = await self._http.call(method, path, self._seconds, body)
-        self._observe_era(_parse_era(reply.headers, path), 'store')
         if reply.status in _REFUSALS:
             raise PlatformRefusedError(f'status {reply.status}', path)
+        era = _parse_era(reply.headers, path)
+        self._observe_era(era, 'store')
         if reply.status not in {_OK, _NOT_FOUND, _CONFLICT}:
             reason = reply.body[:_REASON_BYTES].decode(errors='replace')
             raise PlatformError(f'status {reply.status}: {reason}', path)
-        return reply
+        return _Answer(reply.status, reply.body, era)
 
 
 def _parse_era(headers: Mapping[str, str], path: str) -> int:
@@ -175,12 +196,12 @@
     return int(text)
 
 
-def _convert(item: _Item) -> StoredValue:
+def _convert(item: _Item, era: int) -> StoredValue:
     try:
         blob = base64.b64decode(item.value, validate=True)
     except ValueError:
         blob = b''
-    return StoredValue(blob, item.rev, item.lease_id)
+    return StoredValue(blob, StorePosition(era, item.rev), item.lease_id)
 
 
 def _decode(body: bytes, kind):
--- a/comfreystair/sessions/attempts.py
+++ b/comfreystair/sessions/attempts.py
@@ -163,7 +163,7 @@
                     'write_in_doubt',
                     target=ident,
                     primary=record.primary,
-                    revision=record.revision,
+                    revision=record.position.revision,
                     proof_age=group.primary_tracker.find_proof_age(
                         read_clock()
                     ),
--- a/specs/contacts.py
+++ b/specs/contacts.py
@@ -18,12 +18,17 @@
     PrimaryRecord,
     PrimaryTracker,
 )
+from comfreystair.controllers.store_position import StorePosition
 
 TICK_SECONDS: Final = 0.75
 LAST_TICK: Final = 9
 NEVER: Final = -9
-OLD: Final = PrimaryRecord('old', 1, is_changing=False, revision=10)
-CHANGING: Final = PrimaryRecord('old', 1, is_changing=True, revision=11)
+OLD: Final = PrimaryRecord(
+    'old', 1, is_changing=False, position=StorePosition(1, 10)
+)
+CHANGING: Final = PrimaryRecord(
+    'old', 1, is_changing=True, position=StorePosition(1, 11)
+)
 
 BuildTracker = Callable[[], PrimaryTracker]
 Confirm = Callable[[PrimaryTracker, int, float], bool]
@@ -65,10 +70,10 @@
     def restore(instance: Instance) -> PrimaryTracker:
         tracker = build_tracker()
         tracker.update(OLD, instance.proved_at * TICK_SECONDS)
-        tracker.record_contact(OLD.revision, instance.contact_at * TICK_SECONDS)
+        tracker.record_contact(OLD.position, instance.contact_at * TICK_SECONDS)
         if instance.is_fenced:
             tracker.update(CHANGING, float('-inf'))
-            tracker.fence(CHANGING.revision)
+            tracker.fence(CHANGING.position)
         return tracker
 
     def list_steps(values: tuple) -> list[tuple[str, tuple]]:
@@ -77,7 +82,7 @@
             return []
         seconds = state.now * TICK_SECONDS
         uses_old = bool(restore(state.silent).find_primary(seconds))
-        is_confirmed = confirm(restore(state.other), OLD.revision, seconds)
+        is_confirmed = confirm(restore(state.other), OLD.position, seconds)
         steps = itertools.chain(
             _pass_time(state),
             _read_store(state),
--- a/tests/controllers/test_primary_tracking.py
+++ b/tests/controllers/test_primary_tracking.py
@@ -13,10 +13,13 @@
     PrimaryRecord,
     PrimaryTracker,
 )
+from comfreystair.controllers.store_position import StorePosition
 
-OLD = PrimaryRecord('old', 1, is_changing=False, revision=10)
-CHANGING = PrimaryRecord('old', 1, is_changing=True, revision=11)
-NEW = PrimaryRecord('new', 2, is_changing=False, revision=12)
+OLD = PrimaryRecord('old', 1, is_changing=False, position=StorePosition(1, 10))
+CHANGING = PrimaryRecord(
+    'old', 1, is_changing=True, position=StorePosition(1, 11)
+)
+NEW = PrimaryRecord('new', 2, is_changing=False, position=StorePosition(1, 12))
 
 
 class PrimaryTrackerTest(unittest.TestCase):
@@ -51,7 +54,7 @@
         self.tracker.update(CHANGING, 101)
         self.assertEqual(self.tracker.find_primary(101), '')
         self.assertTrue(self.tracker.may_acknowledge('old', 101))
-        self.tracker.fence(CHANGING.revision)
+        self.tracker.fence(CHANGING.position)
         self.assertFalse(self.tracker.may_acknowledge('old', 101))
 
     def test_announced_failover_does_not_renew_the_proof(self) -> None:
@@ -70,7 +73,7 @@
 
     def test_fence_may_come_before_the_record(self) -> None:
         """A late record from before the failover is not used."""
-        self.tracker.fence(CHANGING.revision)
+        self.tracker.fence(CHANGING.position)
         self.tracker.update(OLD, 101)
         self.assertEqual(self.tracker.find_primary(101), '')
         self.assertFalse(self.tracker.may_acknowledge('old', 101))
@@ -107,24 +110,24 @@
 
     def test_contact_never_outlives_the_proof(self) -> None:
         """While the store is down, other zones bridge a limited time."""
-        self.tracker.record_contact(OLD.revision, 102)
+        self.tracker.record_contact(OLD.position, 102)
         ends_at = 100 + PROOF_TTL_SECONDS
         self.assertEqual(self.tracker.find_primary(ends_at), 'old')
         self.assertEqual(self.tracker.find_primary(ends_at + 0.1), '')
 
     def test_contact_about_another_record_is_ignored(self) -> None:
         """A late contact about the old primary says nothing of the new."""
-        self.tracker.record_contact(OLD.revision, 102)
+        self.tracker.record_contact(OLD.position, 102)
         self.tracker.update(NEW, 101)
-        self.tracker.record_contact(OLD.revision, 103)
+        self.tracker.record_contact(OLD.position, 103)
         expired_at = 101 + CONTACT_TTL_SECONDS + 0.1
         self.assertEqual(self.tracker.find_primary(expired_at), '')
 
     def test_fenced_record_is_not_confirmed(self) -> None:
         """Who confirmed an announcement confirms the old primary no more."""
-        self.assertTrue(self.tracker.confirms(OLD.revision, 101))
-        self.tracker.fence(CHANGING.revision)
-        self.assertFalse(self.tracker.confirms(OLD.revision, 101))
+        self.assertTrue(self.tracker.confirms(OLD.position, 101))
+        self.tracker.fence(CHANGING.position)
+        self.assertFalse(self.tracker.confirms(OLD.position, 101))
 
 
 if __name__ == '__main__':
--- a/tests/coordination/fakes.py
+++ b/tests/coordination/fakes.py
@@ -2,11 +2,22 @@
 
 from collections.abc import Awaitable, Callable
 
-from comfreystair.coordination.records import Committed, Conflict, StoredValue
+from comfreystair.controllers.store_position import StorePosition
+from comfreystair.coordination.records import (
+    MISSING,
+    Committed,
+    Conflict,
+    Lease,
+    StoredValue,
+)
 from comfreystair.exceptions import ComfreystairError
 from comfreystair.peers import PeerSilentError
 
 
+def ignore_era(_era: int, _source: str) -> None:
+    """Do nothing with the era of an answer."""
+
+
 class FakeLog:
     """Records events instead of writing them."""
 
@@ -20,24 +31,55 @@
 
 
 class FakeStore:
-    """In-memory store with revisions and leases.
+    """In-memory store with revisions and leases, which can lose its writes.
+
+    Like the platform's, it compares revisions and ids of leases only. After a
+    restore it gives both out again.
 
     :ivar is_down: every call fails.
     :ivar calls: number of calls, including those that failed.
+    :ivar era: number of the store's era.
     """
 
-    def __init__(self) -> None:
-        """Initialise without keys and leases."""
+    def __init__(self, observe_era: Callable[[int, str], None] = ignore_era):
+        """Initialise without keys and leases.
+
+        :param observe_era: is told the era of each answer.
+        """
         self.items: dict[str, StoredValue] = {}
         self.revision = 0
         self.is_down = False
         self.calls = 0
+        self.era = 1
+        self._observe_era = observe_era
         self._leases: set[int] = set()
+        self._saved: tuple = ({}, 0, set())
+
+    def put(self, key: str, blob: bytes, lease_id: int = 0) -> StorePosition:
+        """Write a key, as the operators or another instance."""
+        self.revision += 1
+        position = StorePosition(self.era, self.revision)
+        self.items[key] = StoredValue(blob, position, lease_id)
+        return position
+
+    def save(self) -> None:
+        """Keep a copy of the present state."""
+        self._saved = (dict(self.items), self.revision, set(self._leases))
+
+    def restore(self) -> None:
+        """Return to the saved copy, in a new era."""
+        items, self.revision, leases = self._saved
+        self.era += 1
+        self._leases = set(leases)
+        self.items = {
+            key: item._replace(position=item.position._replace(era=self.era))
+            for key, item in items.items()
+        }
 
     async def read(self, key: str) -> StoredValue:
         """Return a key's value."""
         self._check()
-        return self.items.get(key, StoredValue(b'', 0))
+        return self.items.get(key, MISSING)
 
     async def list(
         self, prefix: str, is_stale_ok: bool
@@ -51,47 +93,52 @@
         }
 
     async def compare_and_set(
-        self, expected, writes=None, lease: int = 0, leased=()
+        self, expected, writes=None, lease: Lease | None = None, leased=()
     ) -> Committed | Conflict:
         """Write keys if all expected revisions are current."""
         self._check()
-        found = {
-            key: self.items.get(key, StoredValue(b'', 0)) for key in expected
-        }
-        if any(found[key].revision != expected[key] for key in expected):
+        if lease is not None and lease.ident not in self._leases:
+            return Conflict({})
+        found = {key: self.items.get(key, MISSING) for key in expected}
+        if any(
+            found[key].position.revision != expected[key].revision
+            for key in expected
+        ):
             return Conflict(
-                {key: item for key, item in found.items() if item.revision}
+                {key: one for key, one in found.items() if one.position.is_set}
             )
         self.revision += 1
+        position = StorePosition(self.era, self.revision)
         for key, blob in (writes or {}).items():
-            owner = lease if key in leased else 0
-            self.items[key] = StoredValue(blob, self.revision, owner)
-        return Committed(self.revision)
+            owner = lease.ident if lease and key in leased else 0
+            self.items[key] = StoredValue(blob, position, owner)
+        return Committed(position)
 
-    async def grant_lease(self, seconds: float) -> int:
-        """Create a lease that never expires and return its id."""
+    async def grant_lease(self, seconds: float) -> Lease:
+        """Create a lease that never expires."""
         self._check()
         self.revision += 1
         self._leases.add(self.revision)
-        return self.revision
+        return Lease(self.era, self.revision)
 
-    async def renew_lease(self, lease: int) -> bool:
+    async def renew_lease(self, lease: Lease) -> bool:
         """Tell whether a lease has not been revoked."""
         self._check()
-        return lease in self._leases
+        return lease.ident in self._leases
 
-    async def revoke_lease(self, lease: int) -> None:
+    async def revoke_lease(self, lease: Lease) -> None:
         """Revoke a lease and delete its keys."""
         self._check()
-        self._leases.discard(lease)
+        self._leases.discard(lease.ident)
         for key, item in list(self.items.items()):
-            if item.lease == lease:
+            if item.lease_id == lease.ident:
                 self.items.pop(key)
 
     def _check(self) -> None:
         self.calls += 1
         if self.is_down:
             raise ComfreystairError('the store is down', 'store')
+        self._observe_era(self.era, 'store')
 
 
 class FakePeers:
--- a/tests/coordination/test_contacts.py
+++ b/tests/coordination/test_contacts.py
@@ -9,13 +9,18 @@
     CONTACT_TTL_SECONDS,
     PrimaryRecord,
 )
+from comfreystair.controllers.store_position import StorePosition
 from comfreystair.coordination.contacts import ContactExchange
 from comfreystair.coordination.records import InstanceRecord
 from comfreystair.coordination.state import FleetState
 from tests.coordination.fakes import FakePeers
 
-STABLE = PrimaryRecord('one', 1, is_changing=False, revision=5)
-CHANGING = PrimaryRecord('one', 1, is_changing=True, revision=6)
+STABLE = PrimaryRecord(
+    'one', 1, is_changing=False, position=StorePosition(1, 5)
+)
+CHANGING = PrimaryRecord(
+    'one', 1, is_changing=True, position=StorePosition(1, 6)
+)
 PROOF_AGE = CONTACT_TTL_SECONDS + 0.3
 
 
@@ -54,7 +59,9 @@
         listed = {name: one.state.own for name, one in self.instances.items()}
         for one in self.instances.values():
             one.state.instances = listed
-        self.instances['c'].tracker.record_contact(5, read_clock())
+        self.instances['c'].tracker.record_contact(
+            STABLE.position, read_clock()
+        )
 
     def refresh(self) -> bool:
         """Let the first instance ask; tell whether it uses the primary."""
@@ -68,7 +75,9 @@
 
     def test_own_zone_gives_no_contact(self) -> None:
         """Instances of a zone that is cut off must not confirm each other."""
-        self.instances['b'].tracker.record_contact(5, read_clock())
+        self.instances['b'].tracker.record_contact(
+            STABLE.position, read_clock()
+        )
         self.peers.unreachable = {'c:1'}
         self.assertFalse(self.refresh())
 
--- a/tests/coordination/test_failover.py
+++ b/tests/coordination/test_failover.py
@@ -13,6 +13,7 @@
     PROOF_TTL_SECONDS,
     PrimaryRecord,
 )
+from comfreystair.controllers.store_position import StorePosition
 from comfreystair.coordination.failover import FailoverCoordinator
 from comfreystair.coordination.failover_notices import FailoverNotices
 from comfreystair.coordination.records import (
@@ -20,7 +21,6 @@
     INSTANCES_PREFIX,
     GroupRecord,
     InstanceRecord,
-    StoredValue,
     encode_record,
 )
 from comfreystair.coordination.state import FleetState
@@ -110,17 +110,14 @@
         self.prober = FakeProber()
         self.peers = FakePeers()
         record = GroupRecord('one', 1, is_changing=False)
-        self.put(f'{GROUPS_PREFIX}{GROUP}', record)
+        position = self.put(f'{GROUPS_PREFIX}{GROUP}', record)
         self.state.find_group(GROUP).primary_tracker.update(
-            PrimaryRecord('one', 1, False, self.store.revision), read_clock()
+            PrimaryRecord('one', 1, False, position), read_clock()
         )
 
-    def put(self, key: str, record) -> None:
+    def put(self, key: str, record) -> StorePosition:
         """Write a record to the store."""
-        self.store.revision += 1
-        self.store.items[key] = StoredValue(
-            encode_record(record), self.store.revision
-        )
+        return self.store.put(key, encode_record(record))
 
     def fail_over(self, *silent: InstanceRecord, uptime: float = 60) -> float:
         """Run the failover and return how long old proofs were valid."""
--- a/tests/coordination/test_failover_notices.py
+++ b/tests/coordination/test_failover_notices.py
@@ -6,6 +6,7 @@
 
 from comfreystair.clocks import read_clock
 from comfreystair.controllers.primary_tracking import PrimaryRecord
+from comfreystair.controllers.store_position import StorePosition
 from comfreystair.coordination.failover_notices import FailoverNotices
 from comfreystair.coordination.records import InstanceRecord
 from comfreystair.coordination.state import FleetState
@@ -13,8 +14,12 @@
 from comfreystair.peers.messages import definitions
 from tests.coordination.fakes import FakePeers
 
-STABLE = PrimaryRecord('one', 1, is_changing=False, revision=5)
-CHANGING = PrimaryRecord('one', 1, is_changing=True, revision=6)
+STABLE = PrimaryRecord(
+    'one', 1, is_changing=False, position=StorePosition(1, 5)
+)
+CHANGING = PrimaryRecord(
+    'one', 1, is_changing=True, position=StorePosition(1, 6)
+)
 
 
 class Instance:
--- a/tests/coordination/test_heartbeat.py
+++ b/tests/coordination/test_heartbeat.py
@@ -45,7 +45,7 @@
         curio.run(register_and_announce)
         item = self.store.items[KEY]
         self.assertTrue(decode_instance(item).is_leaving)
-        self.assertNotEqual(item.lease, 0)
+        self.assertNotEqual(item.lease_id, 0)
 
     def test_unregistered_instance_writes_no_record(self) -> None:
         """A record without a lease would stay listed for good."""
--- a/tests/coordination/test_keeper_election.py
+++ b/tests/coordination/test_keeper_election.py
@@ -9,7 +9,6 @@
 from comfreystair.coordination.records import (
     KEEPERS_PREFIX,
     InstanceRecord,
-    StoredValue,
     encode_record,
 )
 from comfreystair.coordination.state import FleetState
@@ -38,9 +37,7 @@
 
     def set_other_as_holder(self, incarnation: str, is_keeper: bool) -> None:
         """Store the other instance as holder and let it answer requests."""
-        self.store.revision += 1
-        item = StoredValue(encode_record(OTHER), self.store.revision, 99)
-        self.store.items[KEY] = item
+        self.store.put(KEY, encode_record(OTHER), 99)
         self.state.keepers = {ZONE: OTHER}
 
         async def identify(_request):
--- a/tests/coordination/test_primary_monitor.py
+++ b/tests/coordination/test_primary_monitor.py
@@ -6,6 +6,7 @@
 
 from comfreystair.clocks import read_clock
 from comfreystair.controllers.primary_tracking import PrimaryRecord
+from comfreystair.controllers.store_position import StorePosition
 from comfreystair.coordination.primary_monitor import PrimaryMonitor
 from comfreystair.coordination.records import InstanceRecord
 from comfreystair.coordination.state import FleetState
@@ -70,7 +71,11 @@
         self.state.targets = {'one': build_entry('one')}
         self.state.lists_read_at = read_clock()
         self.group = self.state.find_group('permits')
-        self.set_record(PrimaryRecord('one', 1, is_changing=False, revision=5))
+        self.set_record(
+            PrimaryRecord(
+                'one', 1, is_changing=False, position=StorePosition(1, 5)
+            )
+        )
 
     def set_record(self, record: PrimaryRecord) -> None:
         """Set the group's record, proved as of now."""
@@ -102,7 +107,9 @@
         """
         other = self.state.find_group('pitches')
         self.state.targets['two'] = build_entry('two', group='pitches')
-        record = PrimaryRecord('two', 1, is_changing=False, revision=6)
+        record = PrimaryRecord(
+            'two', 1, is_changing=False, position=StorePosition(1, 6)
+        )
         other.primary_tracker.update(record, read_clock())
         self.fakes.silent = {'one'}
         self.fakes.probed = NO_ANSWER
@@ -122,7 +129,9 @@
 
     def test_announced_failover_is_left_to_its_holder(self) -> None:
         """Its lease keeps all others out until it has expired."""
-        changing = PrimaryRecord('one', 1, is_changing=True, revision=6)
+        changing = PrimaryRecord(
+            'one', 1, is_changing=True, position=StorePosition(1, 6)
+        )
         self.set_record(changing)
         self.assertEqual(self.run_monitor(), [])
 
@@ -143,13 +152,21 @@
 
         The instance must read the lists before it judges the primary.
         """
-        self.set_record(PrimaryRecord('two', 2, is_changing=False, revision=9))
+        self.set_record(
+            PrimaryRecord(
+                'two', 2, is_changing=False, position=StorePosition(1, 9)
+            )
+        )
         self.state.lists_read_at = read_clock() - 5
         self.assertEqual(self.run_monitor(), [])
 
     def test_unlisted_primary_on_recent_lists_is_replaced(self) -> None:
         """A primary that is missing in a recent list has left."""
-        self.set_record(PrimaryRecord('two', 2, is_changing=False, revision=9))
+        self.set_record(
+            PrimaryRecord(
+                'two', 2, is_changing=False, position=StorePosition(1, 9)
+            )
+        )
         self.assertEqual(self.run_monitor()[0][1], 'primary is gone')
 
     async def _run_monitor(self) -> None:
--- a/tests/coordination/test_proofs.py
+++ b/tests/coordination/test_proofs.py
@@ -6,9 +6,14 @@
 
 from comfreystair.clocks import read_clock
 from comfreystair.controllers.primary_tracking import PrimaryRecord
+from comfreystair.controllers.store_position import StorePosition
 from comfreystair.coordination.plan_cache import PlanCache
 from comfreystair.coordination.proofs import ProofExchange
-from comfreystair.coordination.records import InstanceRecord, StoredValue
+from comfreystair.coordination.records import (
+    MISSING,
+    InstanceRecord,
+    StoredValue,
+)
 from comfreystair.coordination.state import FleetState
 from comfreystair.manifest.serving import build_plan
 from tests.coordination.fakes import FakeLog, FakePeers
@@ -19,9 +24,14 @@
 }
 
 
+def build_stored(revision: int) -> StoredValue:
+    """Return a plan as it is stored at a revision."""
+    return StoredValue(b'{}', StorePosition(1, revision))
+
+
 def parse(item: StoredValue):
     """Return a plan without routes."""
-    return build_plan(item.revision, item.revision, (), (), {}, 3)
+    return build_plan(item.position.revision, (), (), {}, 3)
 
 
 class Instance:
@@ -41,7 +51,7 @@
 
     async def fetch(self) -> StoredValue:
         """Return no plan, like a store that answers with stale data."""
-        return StoredValue(b'', 0)
+        return MISSING
 
 
 class ProofExchangeTest(unittest.TestCase):
@@ -53,9 +63,11 @@
         self.reader = Instance('a', self.peers)
         self.follower = Instance('b', self.peers)
         self.read_at = read_clock() - 0.5
-        self.reader.plans.update(StoredValue(b'{}', 7), self.read_at, 'store')
+        self.reader.plans.update(build_stored(7), self.read_at, 'store')
         group = self.reader.state.find_group('permits')
-        record = PrimaryRecord('one', 1, is_changing=False, revision=5)
+        record = PrimaryRecord(
+            'one', 1, is_changing=False, position=StorePosition(1, 5)
+        )
         group.primary_tracker.update(record, self.read_at)
 
     def fetch(self) -> bool:
@@ -65,7 +77,7 @@
     def test_plan_and_primary_come_with_their_age(self) -> None:
         """A fetched proof is never younger than the reader's."""
         self.assertTrue(self.fetch())
-        self.assertEqual(self.follower.plans.revision, 7)
+        self.assertEqual(self.follower.plans.version, 7)
         self.assertLessEqual(self.follower.state.plan_proved_at, self.read_at)
         tracker = self.follower.state.find_group('permits').primary_tracker
         self.assertEqual(tracker.find_primary(read_clock()), 'one')
@@ -82,9 +94,7 @@
 
     def test_reader_without_the_newest_plan_proves_nothing(self) -> None:
         """An older plan may contain access that was revoked since."""
-        self.follower.plans.update(
-            StoredValue(b'{}', 9), float('-inf'), 'store'
-        )
+        self.follower.plans.update(build_stored(9), float('-inf'), 'store')
         self.assertFalse(self.fetch())
         self.assertEqual(self.follower.state.plan_proved_at, float('-inf'))
 
--- a/tests/coordination/test_service_discovery.py
+++ b/tests/coordination/test_service_discovery.py
@@ -75,8 +75,7 @@
 
     def put(self, key: str, blob: bytes) -> None:
         """Write a key to the store."""
-        self.store.revision += 1
-        self.store.items[key] = StoredValue(blob, self.store.revision)
+        self.store.put(key, blob)
 
     def read_all(self) -> int:
         """Let all instances read; the reader reads first and once more.
--- a/tests/gateways/fleet.py
+++ b/tests/gateways/fleet.py
@@ -141,7 +141,7 @@
         record = self.records[name]
         state = FleetState(record)
         state.instances = self.records
-        state.plan = build_plan(1, 1, (), (), {GROUP: CONNECTIONS}, 3)
+        state.plan = build_plan(1, (), (), {GROUP: CONNECTIONS}, 3)
         log = FakeLog()
         board = PoolManager('lima-a', target.open)
         local = LocalExecutor(board, log)
--- a/tests/sessions/test_lost_primary.py
+++ b/tests/sessions/test_lost_primary.py
@@ -14,6 +14,7 @@
 from comfreystair.clocks import read_clock
 from comfreystair.controllers.positions import Position
 from comfreystair.controllers.primary_tracking import PrimaryRecord
+from comfreystair.controllers.store_position import StorePosition
 from comfreystair.coordination.rate_limiter import RateLimiter
 from comfreystair.coordination.records import InstanceRecord
 from comfreystair.coordination.state import FleetState
@@ -42,8 +43,10 @@
 GROUP = 'permits'
 CALLERS = 140
 RETRIES = 3
-STABLE = PrimaryRecord('one', 1, is_changing=False, revision=5)
-CHANGING = STABLE._replace(is_changing=True, revision=6)
+STABLE = PrimaryRecord(
+    'one', 1, is_changing=False, position=StorePosition(1, 5)
+)
+CHANGING = STABLE._replace(is_changing=True, position=StorePosition(1, 6))
 WRITE = Statement('w', StatementKind.write, 'WRITE a b')
 READ = Statement('r', StatementKind.read, 'READ a')
 BEGIN = Statement('b', StatementKind.begin, 'BEGIN')
@@ -94,7 +97,6 @@
         self.state = FleetState(InstanceRecord('a', 'z', 'a:1', 'a'))
         self.state.keepers = {'z': InstanceRecord('k', 'z', 'k:1', 'k')}
         self.state.plan = build_plan(
-            1,
             1,
             [build_route(one) for one in Consistency],
             [Client('org', ('key',), 100, 100)],
