Register again at once when the store has lost the registration

An instance that takes proofs from its zone's reader renews its registration every 2.8 s, so for that long after a restore it was missing from the list that a failover reads, while is_registered() still let it confirm primaries to other zones. Registrations and their leases now count only in the era in which they were written.

Found on the way: a refresh whose registration failed (lease gone before its use) went on and took proofs without one, against what the module promises; a failover would not wait for such an instance. It is an error now.

--- a/comfreystair/coordination/heartbeat.py
+++ b/comfreystair/coordination/heartbeat.py
@@ -109,7 +109,7 @@
         """
         now = read_clock()
         return (
-            self._own_position.is_set
+            self._has_registration()
             and now - self._registered_at > PROOF_TTL_SECONDS
             and now - self._renewed_at < REGISTRATION_TTL_SECONDS
         )
@@ -210,8 +210,13 @@
                 raise
 
     async def _read_store(self) -> None:
-        """Keep the registration and get all proofs from the store."""
+        """Keep the registration and get all proofs from the store.
+
+        :raises ComfreystairError: when there is no registration to prove.
+        """
         await self._keep_registration()
+        if not self._has_registration():
+            raise ComfreystairError('the registration was lost', 'register')
         groups = self._list_groups()
         batch_size = _MAX_KEYS - 2
         for start in range(0, max(len(groups), 1), batch_size):
@@ -237,7 +242,8 @@
         as a follower.
         """
         now = read_clock()
-        if now - self._renewal_tried_at < _RENEW_INTERVAL_SECONDS:
+        is_recent = now - self._renewal_tried_at < _RENEW_INTERVAL_SECONDS
+        if is_recent and self._has_registration():
             return
         self._renewal_tried_at = now
         try:
@@ -324,11 +330,20 @@
 
     async def _keep_registration(self) -> None:
         """Renew the registration if it is due, or register the instance."""
-        if self._own_position.is_set:
+        if self._has_registration():
             await self._renew()
         else:
+            self._own_position = ABSENT
             await self._register()
 
+    def _has_registration(self) -> bool:
+        """Tell whether a registration was written in the store's present era.
+
+        One of an earlier era need not be in the store any more.
+        """
+        position = self._own_position
+        return position.is_set and position.era == self._state.store_era.current
+
     async def _register(self) -> None:
         """Write this instance's registration, in place of an earlier run's.
 
@@ -336,7 +351,8 @@
         refresh asks for a new one.
         """
         asked_at = read_clock()
-        if self._lease is None:
+        era = self._state.store_era.current
+        if self._lease is None or self._lease.era != era:
             self._lease = await self._store.grant_lease(
                 REGISTRATION_TTL_SECONDS
             )
