Search for the primary again when the store has lost failovers

A failover writes a record, holds a lease and uses the position of its announcement as fencing token; a restore takes back all three. Without this, the old primary could be used again (its record is the newest in the store), two instances could promote at once (the lease is gone), and a later promotion carried a lower token than an earlier one.

Cause: the store was taken for the only witness of a failover. Instances and targets know its term, which rises with each promotion and can't be restored. A record now says in which era it was written. One of an earlier era gives no proof, and the known record of a higher term stays; the first instance to see it announces the group as changing, asks all instances for their records and all targets for their roles, and records the primary again if nobody knows a later term, without demoting or promoting anything. If that is disputed, the usual failover follows, after every proof and lease of before the restore has expired. An instance whose promotion is under way does not confirm another's announcement, and orders none when the lease's era is over.

Ruled out: going by what one instance remembers (it may have missed a failover), and waiting for the lease of before the restore in all cases (5 s without a primary; confirmations of all instances show the same).

--- a/comfreystair/controllers/primary_failover.py
+++ b/comfreystair/controllers/primary_failover.py
@@ -50,6 +50,22 @@
     return max(primaries, key=lambda status: status.term, default=None)
 
 
+def find_undisputed_primary(
+    statuses: Iterable[ReplicationStatus], term: int
+) -> ReplicationStatus | None:
+    """Return the primary of the newest term, if no target knows a later one.
+
+    :param term: newest term of which any instance knows.
+    """
+    listed = list(statuses)
+    newest = max((status.term for status in listed), default=term)
+    if newest < term:
+        return None
+    return next(
+        (one for one in listed if one.is_primary and one.term == newest), None
+    )
+
+
 def choose_successor(
     statuses: Iterable[ReplicationStatus], old_primary: str, refused: set[str]
 ) -> ReplicationStatus | None:
--- a/comfreystair/controllers/primary_tracking.py
+++ b/comfreystair/controllers/primary_tracking.py
@@ -39,12 +39,15 @@
     :param is_changing: the primary is being replaced.
     :param position: of the record in the store, :data:`ABSENT` when there is
         no record.
+    :param is_restored: the store may have lost a later record, as it has
+        returned from an older copy since the record was written.
     """
 
     primary: str = ''
     term: int = 0
     is_changing: bool = False
     position: StorePosition = ABSENT
+    is_restored: bool = False
 
 
 class PositionSample(NamedTuple):
@@ -111,7 +114,8 @@
     def update(self, record: PrimaryRecord, asked_at: float) -> bool:
         """Store a record and its proof, unless a newer record is known.
 
-        A record of a primary that is being replaced proves nothing.
+        A record of a primary that is being replaced proves nothing, and
+        neither does one of which the store may have lost a later version.
 
         :param asked_at: when the linearizable read of the record was sent,
             minus infinity if the record came without such a read, as in a
@@ -121,6 +125,9 @@
         if record.position < self._record.position:
             return False
         is_newer = record.position > self._record.position
+        if record.is_restored or record.term < self._record.term:
+            self._merge_restored(record)
+            return is_newer
         if is_newer and record.primary != self._record.primary:
             self._samples.clear()
             self._proved_at = float('-inf')
@@ -182,6 +189,25 @@
                 return sample
         return None
 
+    def _merge_restored(self, record: PrimaryRecord) -> None:
+        """Take the position of a record that may not be the newest.
+
+        The record of the higher term stays known, with its proof until that
+        expires. A primary that was fenced stays fenced.
+        """
+        known = self._record
+        if self._fenced_position >= known.position:
+            self.fence(record.position)
+        if record.term > known.term and record.primary != known.primary:
+            self._samples.clear()
+            self._proved_at = float('-inf')
+        newest = record if record.term > known.term else known
+        self._record = newest._replace(
+            is_changing=known.is_changing or record.is_changing,
+            position=record.position,
+            is_restored=record.is_restored or not record.is_changing,
+        )
+
     def _is_proved(self, now: float) -> bool:
         if self.find_proof_age(now) > PROOF_TTL_SECONDS:
             return False
--- a/comfreystair/coordination/failover.py
+++ b/comfreystair/coordination/failover.py
@@ -12,6 +12,11 @@
    log.
 5. Promote the successor.
 6. Write the new record and publish it to all instances.
+
+After the store has returned from an older copy, the record in it may lack later
+failovers. The steps are then preceded by a look for the present primary: all
+instances are asked which record they know, and all targets for their role. If
+one target is undisputed, it is recorded and nothing is promoted.
 """
 
 from collections.abc import Awaitable, Callable, Iterable
@@ -43,6 +48,7 @@
     GROUPS_PREFIX,
     INSTANCES_PREFIX,
     Committed,
+    Conflict,
     GroupRecord,
     InstanceRecord,
     Lease,
@@ -51,6 +57,7 @@
     decode_primary_record,
     encode_record,
 )
+from comfreystair.coordination.restored_primary import RestoredPrimaryFinder
 from comfreystair.coordination.state import FleetState
 from comfreystair.coordination.target_prober import TargetProber
 from comfreystair.exceptions import ComfreystairError
@@ -131,6 +138,7 @@
         self._notices = notices
         self._promote = promote
         self._log = log
+        self._finder = RestoredPrimaryFinder(state, notices, prober, log)
         self._started_at = read_clock()
 
     async def fail_over(self, name: str, reason: str, is_planned: bool) -> None:
@@ -142,13 +150,13 @@
         :raises ComfreystairError: its ``step`` names the step that failed.
         """
         failover = await self._announce(name, reason, is_planned)
-        if failover.old_record.primary:
-            failover = await self._stop_use_of_old_primary(failover)
-            failover = await self._renew_lease(failover)
-        primary, term = await self._find_or_promote(failover)
+        undisputed = None
+        if failover.old_record.is_restored:
+            failover, undisputed = await self._find_restored(failover)
+        primary, term = undisputed or await self._replace_primary(failover)
         record = await self._write_record(failover, primary, term)
         await self._notices.publish(name, record)
-        if not failover.old_record.primary:
+        if undisputed or not failover.old_record.primary:
             # Nothing was promoted, so the next failover can start at once
             # instead of waiting until the lease expires.
             await self._store.revoke_lease(failover.lease)
@@ -166,22 +174,15 @@
         old_record = self._state.find_group(name).primary_tracker.record
         asked_at = read_clock()
         lease = await self._store.grant_lease(LEASE_TTL_SECONDS)
-        lease_key, key = (
-            f'{FAILOVER_LEASES_PREFIX}{name}',
-            f'{GROUPS_PREFIX}{name}',
-        )
-        record = GroupRecord(
-            old_record.primary, old_record.term, is_changing=True
-        )
-        outcome = await self._store.compare_and_set(
-            {lease_key: ABSENT, key: old_record.position},
-            {
-                lease_key: encode_record(self._state.own),
-                key: encode_record(record),
-            },
-            lease,
-            (lease_key,),
+        outcome = await self._write_announcement(
+            name, old_record, lease, ABSENT
         )
+        if isinstance(outcome, Conflict):
+            leftover = _find_leftover_lease(outcome, name)
+            if leftover is not None:
+                outcome = await self._write_announcement(
+                    name, old_record, lease, leftover
+                )
         if not isinstance(outcome, Committed):
             await self._store.revoke_lease(lease)
             raise FailoverError(
@@ -206,6 +207,67 @@
             is_planned,
         )
 
+    async def _write_announcement(
+        self,
+        name: str,
+        old_record: PrimaryRecord,
+        lease: Lease,
+        held_at: StorePosition,
+    ) -> Committed | Conflict:
+        """Write the failover lease and the changing record of a group.
+
+        :param held_at: position of the key of the failover lease.
+        """
+        lease_key = f'{FAILOVER_LEASES_PREFIX}{name}'
+        key = f'{GROUPS_PREFIX}{name}'
+        record = GroupRecord(
+            old_record.primary,
+            old_record.term,
+            is_changing=True,
+            era=lease.era,
+        )
+        return await self._store.compare_and_set(
+            {lease_key: held_at, key: old_record.position},
+            {
+                lease_key: encode_record(self._state.own),
+                key: encode_record(record),
+            },
+            lease,
+            (lease_key,),
+        )
+
+    async def _find_restored(
+        self, failover: Failover
+    ) -> tuple[Failover, tuple[str, int] | None]:
+        """Look for the present primary after a restore of the store.
+
+        :returns: the failover with the newest record that is known, and the
+            primary with its term; nothing when it is disputed.
+        """
+        recipients = await self._list_recipients(failover, read_clock())
+        old_record = failover.old_record
+        announced = old_record._replace(
+            is_changing=True, position=failover.announced, is_restored=False
+        )
+        found = await self._finder.find(failover.group, announced, recipients)
+        failover = failover._replace(
+            old_record=old_record._replace(
+                primary=found.known.primary, term=found.known.term
+            )
+        )
+        primary = (found.primary, found.term) if found.primary else None
+        return failover, primary
+
+    async def _replace_primary(self, failover: Failover) -> tuple[str, int]:
+        """Stop the use of the old primary and return the new one's id and term.
+
+        :raises ComfreystairError: its ``step`` names the step that failed.
+        """
+        if failover.old_record.primary:
+            failover = await self._stop_use_of_old_primary(failover)
+            failover = await self._renew_lease(failover)
+        return await self._find_or_promote(failover)
+
     async def _renew_lease(self, failover: Failover) -> Failover:
         """Renew the lease, so that the promotion ends before it expires.
 
@@ -263,6 +325,11 @@
             is_contact = validity == CONTACT_TTL_SECONDS
             since = broadcast.confirmed_at if is_contact else announced_at
             waited = _find_wait(since + validity)
+        # Before the restore, instances may have got proofs, and one a failover
+        # lease, of which the store knows nothing any more.
+        rest = LEASE_TTL_SECONDS if silent else PROOF_TTL_SECONDS
+        restored_at = self._state.store_era.restored_at
+        waited = max(waited, _find_wait(restored_at + rest))
         await curio.sleep(waited)
         self._log.write(
             'change_stopped_all',
@@ -428,14 +495,13 @@
         :returns: its term; 0 when it is not running or does not become primary
             in time.
         """
-        token = failover.announced.fencing_token
-        is_running = await self._promote(failover.group, successor.ident, token)
+        is_running = await self._order_promotion(failover, successor.ident)
         self._log.write(
             'change_promoted',
             group=failover.group,
             target=successor.ident,
             received=successor.received,
-            token=token,
+            token=failover.announced.fencing_token,
             is_running=is_running,
         )
         if not is_running:
@@ -449,6 +515,23 @@
             await curio.sleep(_POLL_INTERVAL_SECONDS)
         return 0
 
+    async def _order_promotion(self, failover: Failover, target: str) -> bool:
+        """Order a promotion, unless the failover lease has been lost.
+
+        :returns: whether the target is running.
+        :raises FailoverError: when the store has lost the lease.
+        """
+        if failover.lease.era != self._state.store_era.current:
+            raise FailoverError('the store has lost the lease', 'promote')
+        group = self._state.find_group(failover.group)
+        group.is_promoting = True
+        try:
+            return await self._promote(
+                failover.group, target, failover.announced.fencing_token
+            )
+        finally:
+            group.is_promoting = False
+
     async def _write_record(
         self, failover: Failover, primary: str, term: int
     ) -> PrimaryRecord:
@@ -457,7 +540,10 @@
         :raises FailoverError: when another instance has changed the record.
         """
         key = f'{GROUPS_PREFIX}{failover.group}'
-        content = encode_record(GroupRecord(primary, term, is_changing=False))
+        era = failover.announced.era
+        content = encode_record(
+            GroupRecord(primary, term, is_changing=False, era=era)
+        )
         outcome = await self._retry(
             failover,
             lambda: self._store.compare_and_set(
@@ -530,6 +616,21 @@
     return len({one.zone for one in records}) == 1
 
 
+def _find_leftover_lease(
+    conflict: Conflict, group: str
+) -> StorePosition | None:
+    """Return where a failover lease from before a restore is stored.
+
+    A lease of the present era was written together with the group's record.
+    """
+    stored = conflict.items.get(f'{FAILOVER_LEASES_PREFIX}{group}')
+    record = decode_primary_record(
+        conflict.items.get(f'{GROUPS_PREFIX}{group}')
+    )
+    is_leftover = stored is not None and record.is_restored
+    return stored.position if is_leftover else None
+
+
 def _find_wait(expires_at: float) -> float:
     """Return how long to wait until a proof has certainly expired."""
     return max(expires_at + _PROOF_MARGIN_SECONDS - read_clock(), 0)
@@ -541,8 +642,10 @@
     """Tell whether a promotion has taken effect.
 
     The promotion of a target that was primary already does not change its
-    term; any other target must report a term above the old primary's.
+    term; any other target must report a term above the old primary's. The
+    primary of an earlier term does not count as primary.
     """
     if report is None or not report.is_primary:
         return False
-    return successor.is_primary or report.term > old_term
+    was_primary = successor.is_primary and successor.term >= old_term
+    return was_primary or report.term > old_term
--- a/comfreystair/coordination/failover_notices.py
+++ b/comfreystair/coordination/failover_notices.py
@@ -46,10 +46,12 @@
     :param unconfirmed: addresses of the instances that did not confirm.
     :param confirmed_at: when the last confirmation arrived, this instance's
         own included.
+    :param known: the newest records that the others know.
     """
 
     unconfirmed: list[str]
     confirmed_at: float
+    known: list[PrimaryRecord]
 
 
 class FailoverNotices:
@@ -79,13 +81,22 @@
         """Apply a notice of another instance and return a confirmation.
 
         If the notice announces a failover, the confirmation means that this
-        instance no longer uses the old primary.
+        instance no longer uses the old primary, and that no promotion that it
+        has ordered itself is under way.
+
+        :raises StoreRestoredError: when the notice is of an earlier era.
         """
-        await self.apply(notice.group, decode_notice(notice))
+        record = decode_notice(notice)
+        self._state.store_era.observe(record.position.era, 'notice')
+        await self.apply(notice.group, record)
+        group = self._state.find_group(notice.group)
+        while group.is_promoting:
+            await curio.sleep(_POLL_INTERVAL_SECONDS)
         return definitions.GroupConfirmation(
             incarnation=self._state.own.incarnation,
             heard_ms=_UNKNOWN_TIME,
             followers=self._list_followers(),
+            record=encode_notice(notice.group, group.primary_tracker.record),
         )
 
     async def handle_inquiry(self, inquiry) -> object:
@@ -182,6 +193,7 @@
         recipients = addresses | set(self._list_followers())
         notified = {self._state.own.address}
         unconfirmed: list[str] = []
+        known: list[PrimaryRecord] = []
         confirmed_at = float('-inf')
         while recipients - notified:
             pending = recipients - notified
@@ -191,7 +203,9 @@
             for answer in answers.values():
                 recipients.update(answer.followers)
                 confirmed_at = max(confirmed_at, answer.received_at)
-        return Broadcast(unconfirmed, max(confirmed_at, await own_task.join()))
+                known.append(answer.record)
+        confirmed_at = max(confirmed_at, await own_task.join())
+        return Broadcast(unconfirmed, confirmed_at, known)
 
     async def publish(self, group: str, record: PrimaryRecord) -> None:
         """Send a record to all listed instances and their followers."""
@@ -249,7 +263,9 @@
                 _CONFIRM_TIMEOUT_SECONDS,
             )
             confirmed[address] = _Confirmation(
-                answer.followers or [], read_clock()
+                answer.followers or [],
+                read_clock(),
+                decode_notice(answer.record) if answer.record else record,
             )
 
         await run_concurrently(send, addresses)
@@ -257,10 +273,14 @@
 
 
 class _Confirmation(NamedTuple):
-    """Confirmation of one instance, with the addresses of its followers."""
+    """Confirmation of one instance, with the addresses of its followers.
+
+    :param record: the newest record that it knows.
+    """
 
     followers: list[str]
     received_at: float
+    record: PrimaryRecord
 
 
 def _encode_age(seconds: float) -> int:
--- a/comfreystair/coordination/heartbeat.py
+++ b/comfreystair/coordination/heartbeat.py
@@ -299,9 +299,12 @@
             return
         plan = current.get(self._plan_key, MISSING)
         self._plans.update(plan, asked_at, 'store')
+        missing = MISSING._replace(
+            position=StorePosition(self._state.store_era.current)
+        )
         for group in groups:
             key = f'{GROUPS_PREFIX}{group}'
-            stored = current.get(key, MISSING)
+            stored = current.get(key, missing)
             await self._update_group(group, stored, asked_at)
         if set(self._list_groups()) - set(groups):
             await self._wake.set()
--- a/comfreystair/coordination/primary_monitor.py
+++ b/comfreystair/coordination/primary_monitor.py
@@ -39,6 +39,7 @@
 _LEASE_HELD_DELAY_SECONDS: Final = 1.4
 
 _NO_PRIMARY: Final = 'no primary known'
+_RESTORED: Final = 'store was restored'
 _STALLED: Final = 'failover stalled'
 _GONE: Final = 'primary is gone'
 _LEAVING: Final = 'primary leaves'
@@ -143,6 +144,8 @@
         record = group.primary_tracker.record
         if not self._may_start_failover(name):
             return ''
+        if record.is_restored:
+            return _RESTORED
         if record.is_changing:
             return _STALLED
         age = group.primary_tracker.find_proof_age(read_clock())
--- a/comfreystair/coordination/proofs.py
+++ b/comfreystair/coordination/proofs.py
@@ -251,6 +251,7 @@
             primary=record.primary,
             term=record.term,
             is_changing=record.is_changing,
+            is_restored=record.is_restored,
             era=record.position.era,
             revision=record.position.revision,
             proof_age=age,
@@ -267,6 +268,7 @@
         is_changing=record.is_changing,
         revision=record.position.revision,
         era=record.position.era,
+        is_restored=record.is_restored,
     )
 
 
@@ -274,5 +276,9 @@
     """Decode a group's record from a message of another instance."""
     position = StorePosition(notice.era or 0, notice.revision)
     return PrimaryRecord(
-        notice.primary, notice.term, notice.is_changing, position
+        notice.primary,
+        notice.term,
+        notice.is_changing,
+        position,
+        bool(notice.is_restored),
     )
--- a/comfreystair/coordination/records.py
+++ b/comfreystair/coordination/records.py
@@ -88,11 +88,13 @@
     :param primary: id of the target, empty before the first is known.
     :param term: term of the primary.
     :param is_changing: a failover has been announced.
+    :param era: of the store, in which the record was written.
     """
 
     primary: str
     term: int
     is_changing: bool
+    era: int = 0
 
 
 class StoreClient(Protocol):
@@ -149,16 +151,23 @@
     """Decode a group's record.
 
     A record that can't be decoded counts as changing, so that its primary is
-    not used.
+    not used. One that was written in another era than the one it was read in
+    may lack later failovers.
     """
-    if item is None or not item.position.is_set:
+    if item is None:
         return PrimaryRecord()
+    if not item.position.is_set:
+        return PrimaryRecord(position=item.position)
     try:
         record = msgspec.json.decode(item.blob, type=GroupRecord)
     except msgspec.DecodeError:
         return PrimaryRecord(is_changing=True, position=item.position)
     return PrimaryRecord(
-        record.primary, record.term, record.is_changing, item.position
+        record.primary,
+        record.term,
+        record.is_changing,
+        item.position,
+        is_restored=record.era != item.position.era,
     )
 
 
--- a/comfreystair/coordination/state.py
+++ b/comfreystair/coordination/state.py
@@ -29,6 +29,8 @@
         nothing if it answered the last one.
     :ivar answered_at: when the primary last answered this instance.
     :ivar has_failed_probe: it gave no status since then when it was queried.
+    :ivar is_promoting: this instance has ordered a promotion of which it does
+        not know the outcome yet.
     :ivar changing_since: since when this instance knows that the primary is
         being replaced; nothing if it is not.
     """
@@ -44,6 +46,7 @@
         self.unreachable_since: float | None = None
         self.answered_at = float('-inf')
         self.has_failed_probe = False
+        self.is_promoting = False
         self.changing_since: float | None = None
         self._changed = curio.Event()
 
--- a/comfreystair/coordination/store_era.py
+++ b/comfreystair/coordination/store_era.py
@@ -18,13 +18,14 @@
 
     :ivar current: the era, 0 before the first answer and for a store that
         counts none.
-    :ivar seen_at: when this instance first heard of it.
+    :ivar restored_at: when this instance saw the last change of era, minus
+        infinity if it has seen none.
     """
 
     def __init__(self) -> None:
         """Initialise before the first answer."""
         self.current = 0
-        self.seen_at = read_clock()
+        self.restored_at = float('-inf')
         self._listeners: list[OnNewEra] = []
 
     def add_listener(self, listener: OnNewEra) -> None:
@@ -49,6 +50,7 @@
             return
         previous = self.current
         self.current = era
-        self.seen_at = read_clock()
+        if previous:
+            self.restored_at = read_clock()
         for listener in self._listeners:
             listener(era, previous, source)
--- a/comfreystair/peers/comfreystair.thrift
+++ b/comfreystair/peers/comfreystair.thrift
@@ -125,15 +125,18 @@
     3: i64 term,
     4: bool is_changing,
     5: i64 revision,
-    6: i64 era
+    6: i64 era,
+    7: bool is_restored
 }
 
 // What the receiver last heard of the primary, in milliseconds; -1: never.
-// Followers are those that took proofs from the receiver lately.
+// Followers are those that took proofs from the receiver lately. The record is
+// the newest that the receiver knows.
 struct GroupConfirmation {
     1: string incarnation,
     2: i64 heard_ms,
-    3: list<string> followers
+    3: list<string> followers,
+    4: GroupNotice record
 }
 
 struct ProofRequest {
--- a/tests/controllers/test_primary_tracking.py
+++ b/tests/controllers/test_primary_tracking.py
@@ -130,5 +130,63 @@
         self.assertFalse(self.tracker.confirms(OLD.position, 101))
 
 
+class RestoredRecordTest(unittest.TestCase):
+    """The store returns from a copy with an older record of the group."""
+
+    def setUp(self) -> None:
+        """Create a tracker that knows the new primary."""
+        self.tracker = PrimaryTracker()
+        self.tracker.update(OLD, 100)
+        self.tracker.update(NEW, 100)
+        self.restored = OLD._replace(
+            position=StorePosition(2, 10), is_restored=True
+        )
+
+    # Guards against: the old primary is used again, because the store has lost
+    # the record of its replacement.
+    def test_lost_failover_stays_known(self) -> None:
+        """The old primary is not used, whatever the store says."""
+        self.tracker.update(self.restored, 102)
+        self.assertEqual(self.tracker.find_primary(102), 'new')
+        self.assertFalse(self.tracker.may_acknowledge('old', 102))
+        self.assertEqual(self.tracker.record.term, NEW.term)
+        self.assertEqual(self.tracker.record.position, StorePosition(2, 10))
+
+    # Guards against: a record that may lack later failovers renews a proof.
+    def test_restored_record_proves_nothing(self) -> None:
+        """The primary is used until the last proof has expired."""
+        self.tracker.update(self.restored, 102)
+        self.assertEqual(self.tracker.find_proof_age(102), 2)
+        self.assertTrue(self.tracker.record.is_restored)
+
+    # Guards against: an answer of a primary whose end this instance has
+    # confirmed is reported as a success, since the announcement is lost.
+    def test_fenced_primary_stays_fenced(self) -> None:
+        """The fence of the lost announcement holds for the restored record."""
+        tracker = PrimaryTracker()
+        tracker.update(OLD, 100)
+        tracker.update(CHANGING, 100)
+        tracker.fence(CHANGING.position)
+        tracker.update(self.restored, 101)
+        self.assertFalse(tracker.may_acknowledge('old', 101))
+        self.assertEqual(tracker.find_primary(101), '')
+
+    # Guards against: instances that know no later primary record the old one
+    # anew, and those that know better follow them.
+    def test_confirmed_record_of_lower_term_is_doubted(self) -> None:
+        """It gives no proof, and the instance asks for another search."""
+        settled = OLD._replace(position=StorePosition(2, 12))
+        self.tracker.update(settled, 102)
+        self.assertEqual(self.tracker.find_proof_age(102), 2)
+        self.assertTrue(self.tracker.record.is_restored)
+
+    def test_record_of_the_new_era_is_proved(self) -> None:
+        """Once the primary is recorded again, proofs are renewed."""
+        self.tracker.update(self.restored, 102)
+        self.tracker.update(NEW._replace(position=StorePosition(2, 12)), 103)
+        self.assertEqual(self.tracker.find_proof_age(103), 0)
+        self.assertFalse(self.tracker.record.is_restored)
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/tests/coordination/test_failover.py
+++ b/tests/coordination/test_failover.py
@@ -94,8 +94,8 @@
 
     def setUp(self) -> None:
         """Create a coordinator with a proof, and a group of three targets."""
-        self.store = FakeStore()
         self.state = FleetState(OWN)
+        self.store = FakeStore(self.state.store_era.observe)
         self.state.targets = {
             ident: TargetEntry(
                 ident, GROUP, f'{ident}:2', zone, 2, 1, False, False
@@ -109,7 +109,7 @@
         self.log = RecordingLog()
         self.prober = FakeProber()
         self.peers = FakePeers()
-        record = GroupRecord('one', 1, is_changing=False)
+        record = GroupRecord('one', 1, is_changing=False, era=1)
         position = self.put(f'{GROUPS_PREFIX}{GROUP}', record)
         self.state.find_group(GROUP).primary_tracker.update(
             PrimaryRecord('one', 1, False, position), read_clock()
