Keep granting tokens over a restore of the store

A keeper whose lease the store had lost gave up and was elected again with empty buckets. It replaces the lease now, at once and without touching its buckets, unless another instance holds the key.

The reverse was possible too: the restored key names an earlier keeper that has stopped, or none, so another instance began to grant at once beside the one that the store had forgotten. A new keeper asks the instances of its zone first.

Ruled out: extending the keeper's own term without the key (two keepers), and asking only the holder in the store (it may be the wrong one).

Two of the three tests failed before; that a keeper gives way to the one in the store held already.

--- a/comfreystair/coordination/keeper_election.py
+++ b/comfreystair/coordination/keeper_election.py
@@ -13,6 +13,7 @@
 
 from comfreystair.clocks import read_clock
 from comfreystair.controllers.store_position import ABSENT, StorePosition
+from comfreystair.coordination.concurrency import run_concurrently
 from comfreystair.coordination.jitter import add_jitter
 from comfreystair.coordination.rate_limiter import TokenKeeper
 from comfreystair.coordination.records import (
@@ -45,6 +46,9 @@
 # Highest rank that asks the holder whether it still is the keeper.
 _MAX_ASKING_RANK: Final = 2
 _REQUEST_TIMEOUT_SECONDS: Final = 0.4
+# Timeout of the question to all instances of the zone. Some may be down, and
+# no tokens are granted meanwhile.
+_SURVEY_TIMEOUT_SECONDS: Final = 0.2
 
 
 class KeeperElection:
@@ -129,12 +133,21 @@
             await self._acquire()
 
     async def _renew(self, lease: Lease) -> None:
-        """Renew the lease if it is due; stop being the keeper if it is lost."""
+        """Renew the lease if it is due; stop being the keeper if it is lost.
+
+        A lease that the store has lost in a restore is replaced, if no other
+        instance has become the keeper. The buckets are kept: whoever does so
+        asks first, and grants nothing while this instance may.
+        """
         now = read_clock()
-        if now - self._renewed_at < _RENEW_INTERVAL_SECONDS:
+        is_lost = lease.era != self._state.store_era.current
+        if not is_lost and now - self._renewed_at < _RENEW_INTERVAL_SECONDS:
             return
         is_expired = now - self._renewed_at >= _KEEPER_TTL_SECONDS
-        if not is_expired and await self._store.renew_lease(lease):
+        if not is_expired and (
+            await self._store.renew_lease(lease)
+            or await self._replace_lost_lease(lease)
+        ):
             self._renewed_at = now
             if self._keeper.extend(now + _KEEPER_TTL_SECONDS):
                 return
@@ -146,6 +159,30 @@
         self._not_granting_since = now
         self._log.write('keeper_lapsed', zone=self._state.own.zone)
 
+    async def _replace_lost_lease(self, lost: Lease) -> bool:
+        """Hold the key with a new lease after a restore of the store.
+
+        :returns: whether the key was free, or still held by this instance. A
+            lease of the present era has expired, and is not replaced.
+        """
+        if lost.era == self._state.store_era.current:
+            return False
+        lease = await self._store.grant_lease(_LEASE_TTL_SECONDS)
+        outcome = await self._write_holder(lease, ABSENT)
+        if isinstance(outcome, Conflict):
+            stored = outcome.items.get(self._key)
+            if (
+                stored is not None
+                and decode_instance(stored) == self._state.own
+            ):
+                outcome = await self._write_holder(lease, stored.position)
+        if not isinstance(outcome, Committed):
+            await self._store.revoke_lease(lease)
+            return False
+        self._lease = lease
+        self._log.write('keeper_lease_replaced', zone=self._state.own.zone)
+        return True
+
     async def _acquire(self) -> None:
         """Acquire the lease and become the keeper.
 
@@ -190,11 +227,15 @@
     async def _find_start_time(self) -> float:
         """Return the time from which no earlier holder grants tokens.
 
-        Buckets fill from then on. If this instance was the last holder, it is
-        the time at which it started or stopped being the keeper. If another
-        holder is not known to have stopped, it lies a full lease TTL ahead,
-        since the store may have ended that lease early during an outage.
+        Buckets fill from then on. If another instance of the zone answers as
+        keeper, it is when the lease of that one must have expired. If this
+        instance was the last holder, it is the time at which it started or
+        stopped being the keeper. If another holder is not known to have
+        stopped, it lies a full lease TTL ahead, since the store may have ended
+        that lease early during an outage.
         """
+        if await self._does_another_grant():
+            return read_clock() + _LEASE_TTL_SECONDS
         last = self._last_holder
         if last is not None and last.name == self._state.own.name:
             return self._not_granting_since
@@ -202,6 +243,37 @@
             return read_clock()
         return read_clock() + _LEASE_TTL_SECONDS
 
+    async def _does_another_grant(self) -> bool:
+        """Ask the zone's other instances whether one of them is the keeper.
+
+        After a restore of the store the key may name an earlier keeper, or
+        none, while one that the store has forgotten still grants tokens.
+        """
+        keepers: list[str] = []
+        own = self._state.own
+
+        async def ask(instance: InstanceRecord) -> None:
+            answer = await self._peers.call(
+                instance.address,
+                'identify',
+                definitions.Empty(),
+                definitions.Identity,
+                _SURVEY_TIMEOUT_SECONDS,
+            )
+            if answer.is_keeper:
+                keepers.append(instance.name)
+
+        instances = self._state.instances.values()
+        await run_concurrently(
+            ask,
+            [
+                one
+                for one in instances
+                if one.zone == own.zone and one.name != own.name
+            ],
+        )
+        return bool(keepers)
+
     async def _has_stored_holder_stopped(self, stored: StoredValue) -> bool:
         """Record the holder in the store and tell whether it has stopped.
 
--- a/tests/coordination/test_keeper_election.py
+++ b/tests/coordination/test_keeper_election.py
@@ -11,6 +11,7 @@
     InstanceRecord,
     encode_record,
 )
+from comfreystair.coordination.restorable_store import RestorableStore
 from comfreystair.coordination.state import FleetState
 from comfreystair.peers.messages import definitions
 from tests.coordination.fakes import FakeLog, FakePeers, FakeStore
@@ -27,9 +28,10 @@
 
     def setUp(self) -> None:
         """Create an election without a holder."""
-        self.store = FakeStore()
         self.peers = FakePeers()
         self.state = FleetState(OWN)
+        self.raw_store = FakeStore(self.state.store_era.observe)
+        self.store = RestorableStore(self.raw_store, self.state.store_era)
         self.keeper = TokenKeeper(self.state, 1)
         self.election = KeeperElection(
             self.state, self.store, self.peers, self.keeper, FakeLog()
@@ -37,7 +39,7 @@
 
     def set_other_as_holder(self, incarnation: str, is_keeper: bool) -> None:
         """Store the other instance as holder and let it answer requests."""
-        self.store.put(KEY, encode_record(OTHER), 99)
+        self.raw_store.put(KEY, encode_record(OTHER), 99)
         self.state.keepers = {ZONE: OTHER}
 
         async def identify(_request):
@@ -89,10 +91,50 @@
         self.set_other_as_holder(OTHER.incarnation, is_keeper=True)
         self.peers.unreachable.add(OTHER.address)
         curio.run(self._run)
-        self.store.items.clear()
+        self.raw_store.items.clear()
         self.state.keepers = {}
         self.assertFalse(self.run_election())
-        self.assertIn(KEY, self.store.items)
+        self.assertIn(KEY, self.raw_store.items)
+
+    def restore_after_election(self) -> None:
+        """Become the keeper in writes that the store then loses."""
+        self.raw_store.save()
+        self.assertTrue(self.run_election())
+        self.raw_store.restore()
+        curio.run(self.store.read, KEY)
+
+    # Guards against: nobody is served after a restore for want of tokens, as
+    # the keeper gives up and the next one begins with empty buckets.
+    def test_lost_lease_is_replaced_without_a_pause(self) -> None:
+        """The keeper holds the key with a new lease and keeps its buckets."""
+        self.restore_after_election()
+        bucket = object()
+        buckets = self.keeper._buckets
+        buckets['org'] = bucket
+        self.assertTrue(self.run_election())
+        self.assertIs(buckets.get('org'), bucket)
+        item = self.raw_store.items[KEY]
+        self.assertEqual(item.position.era, self.raw_store.era)
+
+    # Guards against: two keepers of a zone grant tokens, because the store has
+    # lost the key of the first one.
+    def test_keeper_gives_way_to_the_one_in_the_store(self) -> None:
+        """Another instance was faster in the new era."""
+        self.restore_after_election()
+        self.set_other_as_holder(OTHER.incarnation, is_keeper=True)
+        self.assertFalse(self.run_election())
+
+    # Guards against: the same, when the restored key names nobody, or an
+    # earlier keeper that has stopped.
+    def test_no_grants_while_a_forgotten_keeper_grants(self) -> None:
+        """It is asked though it is not in the store, and waited for."""
+        self.state.instances = {'a': OWN, 'b': OTHER}
+        self.set_other_as_holder(OTHER.incarnation, is_keeper=True)
+        self.raw_store.items.clear()
+        self.state.keepers = {}
+        self.election._vacant_since = 0
+        self.assertFalse(self.run_election())
+        self.assertIn(KEY, self.raw_store.items)
 
     async def _run(self) -> None:
         task = await curio.spawn(self.election.run, daemon=True)
