Order a target's entries by its own sequence, not by when they were read

A store that returns from an older copy, or answers with outdated lists, can show a target as ready that had begun to shut down, or one that has left. New requests would have gone there, and addresses are used again.

Each target numbers its entries. An entry of the same run (born) with a lower sequence than the known one is set aside now, also for a minute after the target was removed. Entries of different runs are not ordered: the time of day that names a run may jump back.

Ruled out: the era of the read. A target writes its entry again in the new era, so an entry of the new era can still be the older one. Making a leaving state permanent would cover one field only.

--- a/comfreystair/coordination/service_discovery.py
+++ b/comfreystair/coordination/service_discovery.py
@@ -26,6 +26,7 @@
     decode_instance,
 )
 from comfreystair.coordination.state import FleetState
+from comfreystair.coordination.target_list import TargetList
 from comfreystair.exceptions import ComfreystairError
 from comfreystair.observability.decisions import DecisionLog
 from comfreystair.peers import PeerClients, PeerError, messages
@@ -40,10 +41,6 @@
 # limits are known.
 _FAST_READ_INTERVAL_SECONDS: Final = 0.3
 _FAST_READ_DURATION_SECONDS: Final = 4.0
-# A target is removed after its entry has been missing this long. Entries that
-# expired during an outage of the store are back after 2 s.
-_TARGET_REMOVAL_DELAY_SECONDS: Final = 3.0
-
 # An instance that is no longer listed is remembered this long. It may still run
 # without being able to renew its registration, and must be told of failovers.
 _RECENTLY_LISTED_SECONDS: Final = 30.0
@@ -98,7 +95,7 @@
         self._source_incarnation = ''
         self._source_version = 0
         self._compressed: dict[int, bytes] = {}
-        self._missing_since: dict[str, float] = {}
+        self._targets = TargetList(log)
 
     async def run(self, on_read: OnRead) -> None:
         """Read the lists periodically until cancelled.
@@ -239,26 +236,10 @@
         }
         if self._change_tracker.update(comparable):
             self._compressed.clear()
-        self._apply_targets(entries, now)
+        self._state.targets = self._targets.update(entries, now)
         self._apply_instances_and_keepers(items, now)
         self._state.lists_read_at = read_at
 
-    def _apply_targets(self, found: dict[str, TargetEntry], now: float) -> None:
-        """Replace the targets; one that is missing is kept for a short time."""
-        known = self._state.targets
-        for ident, entry in found.items():
-            if known.get(ident) != entry:
-                self._log.write('target', **entry._asdict())
-            self._missing_since.pop(ident, None)
-        for ident in known.keys() - found.keys():
-            since = self._missing_since.setdefault(ident, now)
-            if now - since < _TARGET_REMOVAL_DELAY_SECONDS:
-                found[ident] = known[ident]
-            else:
-                self._missing_since.pop(ident)
-                self._log.write('target_gone', ident=ident, missing=now - since)
-        self._state.targets = found
-
     def _apply_instances_and_keepers(
         self, items: dict[str, StoredValue], now: float
     ) -> None:
--- a/comfreystair/platform/documents.py
+++ b/comfreystair/platform/documents.py
@@ -74,6 +74,7 @@
     slots: int
     state: str
     db_role: str = 'replica'
+    seq: int = 0
     born: int = msgspec.field(name='born', default=0)
 
 
@@ -127,6 +128,7 @@
         read.born,
         is_leaving=read.state == 'draining',
         claims_primary=read.db_role == 'primary',
+        sequence=read.seq,
     )
 
 
--- a/comfreystair/pooling/targets.py
+++ b/comfreystair/pooling/targets.py
@@ -18,6 +18,7 @@
         changes it.
     :param is_leaving: it is shutting down and accepts no new statements.
     :param claims_primary: it considers itself the primary.
+    :param sequence: rises with each entry of one run.
     """
 
     ident: str
@@ -28,6 +29,7 @@
     born: int
     is_leaving: bool
     claims_primary: bool
+    sequence: int = 0
 
 
 class TargetReport(NamedTuple):
