Wait for a busy primary's status when the store was restored

The search for the present primary asked each target once. A target answers a status query with "busy" when it has no free slot, so a healthy primary under load would have been taken for one that may not exist: demoted, and another promoted, without a primary for seconds.

A target that answers without a status is queried again for up to a second; one that does not answer at all is not waited for, so a real failover is as fast as before.

Ruled out: counting a busy target as a primary (its term is not known), and repeating the whole search (the broadcast need not be repeated).

test_busy_primary_is_kept failed before; the tests of the prober need the new argument.

--- a/comfreystair/coordination/restored_primary.py
+++ b/comfreystair/coordination/restored_primary.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Iterable
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 from comfreystair.controllers.primary_failover import find_undisputed_primary
 from comfreystair.controllers.primary_tracking import PrimaryRecord
@@ -14,6 +14,10 @@
 from comfreystair.coordination.target_prober import TargetProber
 from comfreystair.observability.decisions import DecisionLog
 
+# For how long a busy target is queried again. No new request uses the primary
+# meanwhile, so it soon has a free slot.
+_BUSY_SECONDS: Final = 1.0
+
 
 class FoundPrimary(NamedTuple):
     """What a search has shown.
@@ -67,7 +71,9 @@
             group, announced, set(recipients)
         )
         known = max((announced, *broadcast.known), key=lambda one: one.term)
-        statuses = await self._prober.query_group(group, frozenset())
+        statuses = await self._prober.query_group(
+            group, busy_seconds=_BUSY_SECONDS
+        )
         primary = find_undisputed_primary(statuses, known.term)
         targets = self._state.list_targets(group)
         is_complete = not broadcast.unconfirmed or len(statuses) == len(targets)
--- a/comfreystair/coordination/target_prober.py
+++ b/comfreystair/coordination/target_prober.py
@@ -3,6 +3,9 @@
 from collections.abc import Awaitable, Callable, Container
 from typing import Final, NamedTuple
 
+import curio
+
+from comfreystair.clocks import read_clock
 from comfreystair.controllers.primary_failover import (
     ReplicationStatus,
     get_log_end,
@@ -23,6 +26,8 @@
 _REQUEST_TIMEOUT_SECONDS: Final = 0.3
 # The same for a target that probably does not answer.
 _DOUBTFUL_TIMEOUT_SECONDS: Final = 0.1
+# Delay before a busy target is queried again.
+_BUSY_RETRY_SECONDS: Final = 0.06
 
 OpenProbe = Callable[[TargetEntry, float], Awaitable[Connection]]
 _Request = Callable[[Connection], Awaitable[TargetReport | None]]
@@ -38,6 +43,11 @@
     is_answered: bool
     report: TargetReport | None
 
+    @property
+    def is_busy(self) -> bool:
+        """Tell whether the target answered without a status."""
+        return self.is_answered and self.report is None
+
 
 class TargetProber:
     """Queries and demotes targets; a target that fails gives no report."""
@@ -87,13 +97,19 @@
         return (await self._run(entry, demote)).report
 
     async def query_group(
-        self, group: str, doubtful: Container[str] = ()
+        self,
+        group: str,
+        doubtful: Container[str] = (),
+        busy_seconds: float = 0,
     ) -> list[ReplicationStatus]:
         """Return the replication status of a group's targets that answer.
 
         :param doubtful: ids of targets that probably do not answer, which are
             given less time.
+        :param busy_seconds: for how long a target that answers without a
+            status is queried again.
         """
+        give_up_at = read_clock() + busy_seconds
         statuses: list[ReplicationStatus] = []
 
         async def ask(entry: TargetEntry) -> None:
@@ -102,9 +118,12 @@
                 if entry.ident in doubtful
                 else _REQUEST_TIMEOUT_SECONDS
             )
-            report = (await self.probe(entry, seconds)).report
-            if report is not None:
-                statuses.append(_build_status(entry, report))
+            probe = await self.probe(entry, seconds)
+            while probe.is_busy and read_clock() < give_up_at:
+                await curio.sleep(_BUSY_RETRY_SECONDS)
+                probe = await self.probe(entry, seconds)
+            if probe.report is not None:
+                statuses.append(_build_status(entry, probe.report))
 
         await run_concurrently(ask, self._state.list_targets(group))
         return statuses
--- a/tests/coordination/test_restored_failover.py
+++ b/tests/coordination/test_restored_failover.py
@@ -39,11 +39,13 @@
     """A group whose targets report roles and terms.
 
     :ivar roles: term of each target that answers, and whether it is primary.
+    :ivar busy: targets that give no status when they are queried once.
     """
 
     def __init__(self) -> None:
         """Initialise with the first target as primary of the first term."""
         self.roles = {one: (1, one == 'one') for one in IDENTS}
+        self.busy: set[str] = set()
         self.newest_term = 1
         self.demoted: list[str] = []
         self.tokens: list[int] = []
@@ -52,11 +54,14 @@
         """Record a demotion."""
         self.demoted.append(entry.ident)
 
-    async def query_group(self, _group: str, _doubtful) -> list:
+    async def query_group(
+        self, _group: str, _doubtful=(), busy_seconds: float = 0
+    ) -> list:
         """Return the status of each target that answers."""
         return [
             ReplicationStatus(ident, is_primary, term, END, False)
             for ident, (term, is_primary) in self.roles.items()
+            if busy_seconds or ident not in self.busy
         ]
 
     async def query_status(self, entry: TargetEntry) -> TargetReport:
@@ -181,6 +186,15 @@
         self.assertEqual((self.targets.demoted, self.targets.tokens), ([], []))
         self.assertEqual(self.peer.tracker.record, record)
 
+    # Guards against: a healthy primary is demoted after a restore, because it
+    # was too busy to give its status.
+    def test_busy_primary_is_kept(self) -> None:
+        """It is queried until it gives its status."""
+        self.targets.busy.add('one')
+        self.restore()
+        self.assertEqual(self.fail_over().primary, 'one')
+        self.assertEqual(self.targets.tokens, [])
+
     # Guards against: a target is promoted with a lower token than an earlier
     # holder has used, as the store gives out revisions again.
     def test_fencing_tokens_rise_over_eras(self) -> None:
@@ -205,10 +219,10 @@
         self.targets.roles.pop('one')
         read_group = self.targets.query_group
 
-        async def query_group(group: str, doubtful) -> list:
+        async def query_group(group: str, *options, **settings) -> list:
             self.store.restore()
             self.observe(self.store.era, 'store')
-            return await read_group(group, doubtful)
+            return await read_group(group, *options, **settings)
 
         self.targets.query_group = query_group
         with self.assertRaises(FailoverError):
