Grant no tokens while a silent instance may be a forgotten keeper

A new keeper asks its zone's instances whether one of them still grants tokens, as a restored store may have forgotten it. One that did not answer counted as not granting, so a keeper behind a partition could grant beside the new one until its own term ended.

The new keeper now begins no earlier than a keeper's term after the restore, unless all instances have answered. Without a restore nothing changes: a free key is proof enough then, and after a loss of power silent instances must not delay the tokens.

The new test of a silent instance failed before (tokens were granted); the one without a restore held already.

--- a/comfreystair/coordination/keeper_election.py
+++ b/comfreystair/coordination/keeper_election.py
@@ -7,7 +7,7 @@
 incarnation.
 """
 
-from typing import Final
+from typing import Final, NamedTuple
 
 import curio
 
@@ -51,6 +51,16 @@
 _SURVEY_TIMEOUT_SECONDS: Final = 0.2
 
 
+class _Survey(NamedTuple):
+    """Answers of the zone's other instances.
+
+    :param is_complete: all of them have answered.
+    """
+
+    answers: list
+    is_complete: bool
+
+
 class KeeperElection:
     """Acquires, renews and releases the keeper lease of the own zone."""
 
@@ -228,14 +238,27 @@
         """Return the time from which no earlier holder grants tokens.
 
         Buckets fill from then on. If another instance of the zone answers as
-        keeper, it is when the lease of that one must have expired. If this
-        instance was the last holder, it is the time at which it started or
-        stopped being the keeper. If another holder is not known to have
-        stopped, it lies a full lease TTL ahead, since the store may have ended
-        that lease early during an outage.
+        keeper, it is when the lease of that one must have expired. One that
+        does not answer may be a keeper that the store has forgotten, which
+        stops its TTL after the restore at the latest.
         """
-        if await self._does_another_grant():
+        others = await self._ask_instances()
+        if any(one.is_keeper for one in others.answers):
             return read_clock() + _LEASE_TTL_SECONDS
+        since = await self._find_end_of_last_term()
+        if others.is_complete:
+            return since
+        restored_at = self._state.store_era.restored_at
+        return max(since, restored_at + _KEEPER_TTL_SECONDS)
+
+    async def _find_end_of_last_term(self) -> float:
+        """Return when the last known holder has certainly stopped.
+
+        If this instance was the last holder, it is the time at which it
+        started or stopped being the keeper. If another holder is not known to
+        have stopped, it lies a full lease TTL ahead, since the store may have
+        ended that lease early during an outage.
+        """
         last = self._last_holder
         if last is not None and last.name == self._state.own.name:
             return self._not_granting_since
@@ -243,36 +266,33 @@
             return read_clock()
         return read_clock() + _LEASE_TTL_SECONDS
 
-    async def _does_another_grant(self) -> bool:
+    async def _ask_instances(self) -> '_Survey':
         """Ask the zone's other instances whether one of them is the keeper.
 
         After a restore of the store the key may name an earlier keeper, or
         none, while one that the store has forgotten still grants tokens.
         """
-        keepers: list[str] = []
         own = self._state.own
+        others = [
+            one
+            for one in self._state.instances.values()
+            if one.zone == own.zone and one.name != own.name
+        ]
+        answers: list = []
 
         async def ask(instance: InstanceRecord) -> None:
-            answer = await self._peers.call(
-                instance.address,
-                'identify',
-                definitions.Empty(),
-                definitions.Identity,
-                _SURVEY_TIMEOUT_SECONDS,
+            answers.append(
+                await self._peers.call(
+                    instance.address,
+                    'identify',
+                    definitions.Empty(),
+                    definitions.Identity,
+                    _SURVEY_TIMEOUT_SECONDS,
+                )
             )
-            if answer.is_keeper:
-                keepers.append(instance.name)
-
-        instances = self._state.instances.values()
-        await run_concurrently(
-            ask,
-            [
-                one
-                for one in instances
-                if one.zone == own.zone and one.name != own.name
-            ],
-        )
-        return bool(keepers)
+
+        await run_concurrently(ask, others)
+        return _Survey(answers, len(answers) == len(others))
 
     async def _has_stored_holder_stopped(self, stored: StoredValue) -> bool:
         """Record the holder in the store and tell whether it has stopped.
--- a/tests/coordination/test_keeper_election.py
+++ b/tests/coordination/test_keeper_election.py
@@ -4,6 +4,7 @@
 
 import curio
 
+from comfreystair.clocks import read_clock
 from comfreystair.coordination.keeper_election import KeeperElection
 from comfreystair.coordination.rate_limiter import TokenKeeper
 from comfreystair.coordination.records import (
@@ -136,6 +137,26 @@
         self.assertFalse(self.run_election())
         self.assertIn(KEY, self.raw_store.items)
 
+    # Guards against: the same, when the forgotten keeper can't be reached.
+    def test_no_grants_while_a_silent_instance_may_grant(self) -> None:
+        """A keeper of before the restore stops by itself."""
+        self.raw_store.save()
+        self.raw_store.restore()
+        curio.run(self.store.read, KEY)
+        self.state.store_era.restored_at = read_clock()
+        self.state.instances = {'a': OWN, 'b': OTHER}
+        self.peers.unreachable.add(OTHER.address)
+        self.election._vacant_since = 0
+        self.assertFalse(self.run_election())
+        self.assertTrue(self.keeper.is_elected)
+
+    def test_silent_instance_does_not_delay_without_a_restore(self) -> None:
+        """The store has lost no keeper, so the free key is proof enough."""
+        self.state.instances = {'a': OWN, 'b': OTHER}
+        self.peers.unreachable.add(OTHER.address)
+        self.election._vacant_since = 0
+        self.assertTrue(self.run_election())
+
     async def _run(self) -> None:
         task = await curio.spawn(self.election.run, daemon=True)
         await curio.sleep(RUN_SECONDS)
