Ask the last keeper for tokens when the store no longer names it

The list of keepers was taken for the truth: when the copy was made before the present keepers were elected, it names nobody, or instances that are keepers no more, until the keepers have written again and the lists are read once more. The keepers grant tokens all the while.

An instance that last answered as its zone's keeper is asked after the listed one, until it answers otherwise or not at all. That is safe: only a keeper grants, and it alone decides whether its term goes on.

Ruled out: keeping the old list for some time after a restore, as the election also goes by it and would wait for a dead holder.

--- a/comfreystair/coordination/rate_limiter.py
+++ b/comfreystair/coordination/rate_limiter.py
@@ -56,6 +56,7 @@
         self._zones = (own, *(zone for zone in zones if zone != own))
         self._log = log
         self._held_tokens: dict[str, GrantedTokens] = {}
+        self._last_keepers: dict[str, InstanceRecord] = {}
         self._backoff_until: dict[str, float] = {}
         self._empty_until: dict[tuple[str, str], float] = {}
 
@@ -76,10 +77,7 @@
         if held_tokens.spend(read_clock()):
             return None
         retry = _NO_KEEPER_RETRY_SECONDS
-        for zone in self._zones:
-            keeper = self._state.keepers.get(zone)
-            if keeper is None:
-                continue
+        for zone, keeper in self._list_keepers():
             asked_at = read_clock()
             granted = await self._request_tokens(
                 zone, keeper, organisation, wanted
@@ -90,6 +88,22 @@
             retry = min(retry, granted.retry_seconds)
         return retry
 
+    def _list_keepers(self) -> list[tuple[str, InstanceRecord]]:
+        """Return the keepers to ask, with their zones, in this order.
+
+        A zone's listed keeper comes before the one that last answered as its
+        keeper. That one may still grant tokens while the list names another
+        or none, as after a restore of the store.
+        """
+        listed = self._state.keepers
+        return [
+            (zone, keepers[zone])
+            for zone in self._zones
+            for keepers in (listed, self._last_keepers)
+            if zone in keepers
+            and (keepers is listed or keepers[zone] != listed.get(zone))
+        ]
+
     async def _request_tokens(
         self,
         zone: str,
@@ -103,7 +117,7 @@
         the retry delay of its last answer without tokens has passed.
         """
         now = read_clock()
-        bucket_key = (zone, organisation)
+        bucket_key = (keeper.name, organisation)
         if self._backoff_until.get(keeper.incarnation, now) > now:
             return TokenGrant(0, _NO_KEEPER_RETRY_SECONDS)
         empty_until = self._empty_until.get(bucket_key, now)
@@ -125,11 +139,22 @@
                 now + _KEEPER_BACKOFF_SECONDS
             )
             self._log.write('keeper_lost', zone=zone, reason=error)
+            self._record_keeper(zone, keeper, is_keeper=False)
             return TokenGrant(0, _NO_KEEPER_RETRY_SECONDS)
+        self._record_keeper(zone, keeper, grant.is_keeper)
         if not grant.tokens:
             self._empty_until[bucket_key] = now + grant.retry_seconds
         return TokenGrant(grant.tokens, grant.retry_seconds)
 
+    def _record_keeper(
+        self, zone: str, instance: InstanceRecord, is_keeper: bool
+    ) -> None:
+        """Record whether an instance has answered as a zone's keeper."""
+        if is_keeper:
+            self._last_keepers[zone] = instance
+        elif self._last_keepers.get(zone) == instance:
+            self._last_keepers.pop(zone)
+
 
 class TokenKeeper:
     """Token buckets of this instance's zone, while it is the keeper."""
