Keep instances listed until they can have registered again

A copy from before the registrations lists nobody. Each instance then found itself alone: it read the store for its zone, made itself the gateway of its zone's targets, and lost its rank in all duties, until the others had registered again and the lists were read. On a large fleet that is a call to the store from each instance at the moment of its return.

For 3 s after a restore, known instances stay listed although their registration is missing. They register again with their next heartbeat or two.

Ruled out: keeping missing instances always, since one that has shut down should not be asked any more.

test_instances_stay_listed_over_a_restore failed before.

--- a/comfreystair/coordination/service_discovery.py
+++ b/comfreystair/coordination/service_discovery.py
@@ -44,6 +44,9 @@
 # An instance that is no longer listed is remembered this long. It may still run
 # without being able to renew its registration, and must be told of failovers.
 _RECENTLY_LISTED_SECONDS: Final = 30.0
+# How long after a restore of the store an instance may still lack its
+# registration. It takes one or two heartbeats to write it again.
+_REGISTER_AGAIN_SECONDS: Final = 3.0
 # Greatest accepted age of lists from another instance.
 _MAX_LISTS_AGE_SECONDS: Final = 1.5
 # If the reader gives no recent lists, the store is only read when those held
@@ -245,6 +248,8 @@
     ) -> None:
         state = self._state
         instances = _decode_instances(items, INSTANCES_PREFIX)
+        if now - state.store_era.restored_at < _REGISTER_AGAIN_SECONDS:
+            instances = {**state.instances, **instances}
         instances[state.own.name] = state.own
         for name in instances.keys() ^ state.instances.keys():
             self._log.write('instance', name=name, is_listed=name in instances)
--- a/tests/coordination/test_service_discovery.py
+++ b/tests/coordination/test_service_discovery.py
@@ -4,6 +4,7 @@
 
 import curio
 
+from comfreystair.clocks import read_clock
 from comfreystair.coordination.plan_cache import PlanCache
 from comfreystair.coordination.proofs import ProofExchange
 from comfreystair.coordination.records import (
@@ -20,6 +21,7 @@
 
 PREFIX = 'targets/'
 NAMES = ('a', 'b', 'c')
+RESTORED_LONG_AGO_SECONDS = 10.0
 RECORDS = {
     name: InstanceRecord(name, 'lima-a', f'{name}:1', f'{name}-1')
     for name in NAMES
@@ -121,6 +123,32 @@
         self.read_all()
         self.assertNotEqual(state.lists_read_at, float('-inf'))
 
+    def lose_registrations(self, restored_ago: float) -> set[str]:
+        """Let all instances read a store without registrations.
+
+        :param restored_ago: how long ago the store was restored, in seconds.
+        :returns: the instances that the reader lists then.
+        """
+        self.read_all()
+        for name in NAMES:
+            self.store.items.pop(f'{INSTANCES_PREFIX}{name}')
+        for one in self.instances.values():
+            one.state.store_era.restored_at = read_clock() - restored_ago
+        self.read_all()
+        return set(self.instances[self.reader].state.instances)
+
+    # Guards against: all instances read the store and connect to all targets
+    # at once, because each finds itself alone in the restored store's list.
+    def test_instances_stay_listed_over_a_restore(self) -> None:
+        """They have a short time to register again."""
+        self.assertEqual(self.lose_registrations(0), set(NAMES))
+
+    def test_instances_that_did_not_register_again_are_removed(self) -> None:
+        """A missing registration means an end again soon after a restore."""
+        self.assertEqual(
+            self.lose_registrations(RESTORED_LONG_AGO_SECONDS), {self.reader}
+        )
+
 
 if __name__ == '__main__':
     unittest.main()
