Tell manifests of one generation apart, and let operators ship above it

Generations are given out again when the store has lost the newest ones. A daemon with the lost generation took any manifest of that number for its own: the store's newest one was never in force, and the daemon kept confirming the lost one by it, also through gossip.

A root is identified by its generation and ident now; gossip carries 31 bits of the ident's hash (7 bytes a message). The order stays that of generations: an outdated answer of the store can't be told from a restored store here.

Ruled out: a counter of restores, which etcd's interface does not have.

test_another_root_of_the_generation_confirms_nothing fails when roots are compared by generation alone. Not run: the whole path with a store that is restored; the stand-in of this store has no copy to return to.

--- a/comfreystair/controllers/manifest_generation.py
+++ b/comfreystair/controllers/manifest_generation.py
@@ -5,7 +5,7 @@
 
 from typing import Final
 
-from comfreystair.manifest.chunks import Root
+from comfreystair.manifest.chunks import Root, RootVersion
 from comfreystair.manifest.schema import Policy
 
 NO_ROOT: Final = Root(0, ())
@@ -49,16 +49,28 @@
         self._newest = root
         return True
 
-    def confirm(self, generation: int, at: float) -> None:
-        """Record that a generation was the newest at a time.
+    def confirm(self, version: RootVersion, at: float) -> None:
+        """Record that a root was the newest at a time.
 
-        A generation that is not the newest known one is ignored.
+        A root that is not the newest known one is ignored. Another root can
+        have its generation, if the store was restored from an older copy.
 
         :param at: monotonic seconds.
         """
-        if generation == self._newest.generation:
+        if version == self._newest.version:
             self._confirmed_at = max(self._confirmed_at, at)
 
+    def is_superseded(self, root: Root) -> bool:
+        """Tell whether a root read from the store can't come into force.
+
+        That is so when its generation was given to another root before, which
+        the store has lost. A root that precedes the newest known one is not
+        meant: it was read before that one was shipped.
+        """
+        newest = self._newest
+        is_newer = root.generation > newest.generation
+        return not is_newer and not newest.has_shipped(root.ident)
+
     def apply(self, root: Root) -> bool:
         """Put a root in force if its generation is newer than the current.
 
--- a/comfreystair/fleet/gossip.py
+++ b/comfreystair/fleet/gossip.py
@@ -27,6 +27,7 @@
 from comfreystair.dialing import Dial
 from comfreystair.etcd import PlatformError, list_instances
 from comfreystair.fleet.manifest_updater import ManifestUpdater
+from comfreystair.manifest.chunks import RootVersion
 from comfreystair.peers import PeerClients, PeerError, PeerRefusedError
 from comfreystair.peers.messages import definitions
 from comfreystair.targets.groups import DatabaseGroup
@@ -228,6 +229,7 @@
         return definitions.ManifestState(
             generation=root.generation,
             confirmed_age_ms=int(min(age, _MAX_AGE_MS)),
+            ident_hash=root.version.ident_hash,
         )
 
     async def _apply_message(self, message) -> None:
@@ -286,7 +288,8 @@
             state.generation, address
         )
         age = (state.confirmed_age_ms or 0) / _MILLISECONDS
-        self._state.generations.confirm(state.generation, now - age)
+        version = RootVersion(state.generation, state.ident_hash or 0)
+        self._state.generations.confirm(version, now - age)
 
 
 def _encode_contact(contact: Contact, age: float):
--- a/comfreystair/fleet/manifest_updater.py
+++ b/comfreystair/fleet/manifest_updater.py
@@ -157,7 +157,8 @@
         if entry.revision:
             root = decode_root(entry.content)
             await self.record_root(root)
-            self._controller.confirm(root.generation, asked_at)
+            self._log_superseded(root)
+            self._controller.confirm(root.version, asked_at)
         return entry.revision
 
     async def apply_changes(self, apply: ApplyManifest) -> None:
@@ -178,6 +179,15 @@
                 )
                 await curio.sleep(_RETRY_SECONDS)
 
+    def _log_superseded(self, root: Root) -> None:
+        """Log a root of the store that can't come into force."""
+        if self._controller.is_superseded(root):
+            logger.warning(
+                'event=manifest_superseded generation={} known={}',
+                root.generation,
+                self._controller.newest.generation,
+            )
+
     def _is_watcher(self) -> bool:
         """Tell whether this daemon ranks among the watchers of its zone."""
         own = self._membership.own
@@ -190,10 +200,10 @@
         """Watch the root until this daemon is no longer a watcher."""
         revision = await self.read_root()
         async for entry in self._store.watch(ROOT_KEY, revision + 1):
-            await self.record_root(decode_root(entry.content))
-            self._controller.confirm(
-                decode_root(entry.content).generation, time.monotonic()
-            )
+            root = decode_root(entry.content)
+            await self.record_root(root)
+            self._log_superseded(root)
+            self._controller.confirm(root.version, time.monotonic())
             if not self._is_watcher():
                 return
 
--- a/comfreystair/management/commands/manifest_ship.py
+++ b/comfreystair/management/commands/manifest_ship.py
@@ -11,11 +11,7 @@
 from comfreystair.management.commands.manifest_diff import print_changes
 from comfreystair.management.exceptions import CommandError
 from comfreystair.management.files import read_manifest
-from comfreystair.management.options import (
-    prefix_option,
-    seconds_option,
-    store_option,
-)
+from comfreystair.management.options import seconds_option, store_options
 from comfreystair.management.output import (
     EXIT_CONFLICT,
     EXIT_FAILED,
@@ -33,8 +29,7 @@
 
 @click.command('ship')
 @click.argument('path')
-@store_option
-@prefix_option
+@store_options
 @seconds_option
 @click.option(
     '--expect',
@@ -42,6 +37,12 @@
     default=None,
     help='Generation that it shall replace.',
 )
+@click.option(
+    '--above',
+    type=int,
+    default=0,
+    help='Generation that it shall exceed, if the store has lost that one.',
+)
 @click.option('--by', 'shipped_by', default='', help='Who ships it.')
 @json_option
 def command(
@@ -50,6 +51,7 @@
     prefix: str,
     seconds: float,
     expect: int | None,
+    above: int,
     shipped_by: str,
     is_json: bool,
 ) -> None:
@@ -65,7 +67,9 @@
     client = Store(build_dialer(''), store, prefix, seconds)
     operator = shipped_by or getpass.getuser()
     try:
-        outcome = curio.run(ship_manifest, client, manifest, expect, operator)
+        outcome = curio.run(
+            ship_manifest, client, manifest, expect, operator, above
+        )
     except PlatformError as error:
         fail(f'outcome unknown: {error}', EXIT_UNAVAILABLE)
     if isinstance(outcome, Err):
--- a/comfreystair/management/options.py
+++ b/comfreystair/management/options.py
@@ -6,13 +6,13 @@
 
 _CALL_SECONDS: Final = 3.0
 
-store_option = click.option(
+_store_option = click.option(
     '--store',
     required=True,
     envvar='COMFREYSTAIR_STORE',
     help="host:port of the platform's store.",
 )
-prefix_option = click.option(
+_prefix_option = click.option(
     '--prefix',
     default='comfreystair/',
     show_default=True,
@@ -37,3 +37,8 @@
     show_default=True,
     help='Bound on each call.',
 )
+
+
+def store_options(command):
+    """Add the options that say which store is meant."""
+    return _store_option(_prefix_option(command))
--- a/comfreystair/management/shipping.py
+++ b/comfreystair/management/shipping.py
@@ -70,7 +70,11 @@
 
 
 async def ship_manifest(
-    store: Store, manifest: Manifest, expected: int | None, shipped_by: str
+    store: Store,
+    manifest: Manifest,
+    expected: int | None,
+    shipped_by: str,
+    above: int = 0,
 ) -> Result[Root, Conflict]:
     """Put a manifest in the place of the one that is expected there.
 
@@ -78,6 +82,7 @@
     idents of the attempts that came before it.
 
     :param expected: generation to replace, by default the one found there.
+    :param above: generation that the new one must exceed as well.
     :raises PlatformError: when the store can't be asked any more; the outcome
         is then unknown.
     """
@@ -86,7 +91,7 @@
         return Err(Conflict(current))
     chunks = split_manifest(encode_manifest(manifest))
     ident = secrets.token_hex(_IDENT_BYTES)
-    root = build_next_root(current.root, chunks, shipped_by, ident)
+    root = build_next_root(current.root, chunks, shipped_by, ident, above)
     beside = {f'{CHUNK_PREFIX}{name}': piece for name, piece in chunks.items()}
     if sum(len(piece) for piece in beside.values()) > _INLINE_BYTES:
         await _write_chunks(store, beside)
--- a/comfreystair/manifest/chunks.py
+++ b/comfreystair/manifest/chunks.py
@@ -19,6 +19,18 @@
 _BUCKET_BYTES: Final = 16384
 _MAX_BUCKETS: Final = 1024
 _KEPT_IDENTS: Final = 32
+# Thrift's 32-bit integers have a sign.
+_IDENT_HASH_MASK: Final = 0x7FFFFFFF
+
+
+class RootVersion(NamedTuple):
+    """Which root it is.
+
+    :param ident_hash: 31 bits of the hash of its ident.
+    """
+
+    generation: int
+    ident_hash: int
 
 
 class Root(NamedTuple):
@@ -37,18 +49,35 @@
     ident: str = ''
     history: tuple[str, ...] = ()
 
+    @property
+    def version(self) -> RootVersion:
+        """Return the generation with a hash of the ident.
+
+        Generations are given out again when the store has lost some.
+        """
+        digest = xxhash.xxh32_intdigest(self.ident.encode())
+        return RootVersion(self.generation, digest & _IDENT_HASH_MASK)
+
     def has_shipped(self, ident: str) -> bool:
         """Tell whether an attempt became this generation or one before."""
         return ident == self.ident or ident in self.history
 
 
 def build_next_root(
-    current: Root, chunks: Iterable[str], shipped_by: str, ident: str
+    current: Root,
+    chunks: Iterable[str],
+    shipped_by: str,
+    ident: str,
+    above: int = 0,
 ) -> Root:
-    """Build the root that follows another."""
+    """Build the root that follows another.
+
+    :param above: highest generation that was in force, if the store has lost
+        it.
+    """
     history = tuple(filter(None, (current.ident, *current.history)))
     return Root(
-        current.generation + 1,
+        max(current.generation, above) + 1,
         tuple(chunks),
         shipped_by,
         ident,
--- a/comfreystair/peers/comfreystair.thrift
+++ b/comfreystair/peers/comfreystair.thrift
@@ -26,7 +26,8 @@
 
 struct ManifestState {
     1: i64 generation,
-    4: i32 confirmed_age_ms
+    4: i32 confirmed_age_ms,
+    5: i32 ident_hash
 }
 
 struct Root {
