--- a/comfreystair/coordination/heartbeat.py
+++ b/comfreystair/coordination/heartbeat.py
@@ -220,7 +220,7 @@
         groups = self._list_groups()
         batch_size = _MAX_KEYS - 2
         for start in range(0, max(len(groups), 1), batch_size):
-            await self._check_revisions(groups[start : start + batch_size])
+            await self._check_positions(groups[start : start + batch_size])
 
     async def _fetch_from_other_zones(self) -> bool:
         """Fetch proofs from other zones while the store does not answer.
@@ -251,7 +251,7 @@
         except ComfreystairError as error:
             self._log.write('registration_not_renewed', reason=error)
 
-    async def _check_revisions(self, groups: list[str]) -> None:
+    async def _check_positions(self, groups: list[str]) -> None:
         """Get proofs of the plan and of groups' records with one transaction.
 
         A conflict returns the current values, which are then applied.
