Ask all targets when the store has lost a failover whose end nobody knows

A failover may have promoted a target in the lost seconds and ended with its instance, or with the store, before any other instance heard of the outcome. The others know the announcement only. The search for the present primary took their answers for proof that no later term exists, so the old primary could be recorded again beside the new one, if the latter did not answer and the former had not been demoted.

An instance tells which record it knew before the search. If one of the newest term is a change that was announced before the restore, instances prove nothing, and all targets must report their terms. Otherwise the usual failover follows, which promotes with a higher term.

Ruled out: raising the known term when a promotion is ordered; if it did not take effect, the next one is taken for a promotion that failed.

test_unfinished_failover_needs_all_targets failed before, for the instance that searches and for another one.

--- a/comfreystair/controllers/primary_failover.py
+++ b/comfreystair/controllers/primary_failover.py
@@ -4,6 +4,7 @@
 from typing import Final, NamedTuple
 
 from comfreystair.controllers.positions import ORIGIN, Position
+from comfreystair.controllers.primary_tracking import PrimaryRecord
 
 # A primary must be unreachable this long before it is replaced.
 FAILURE_DETECTION_SECONDS: Final = 0.8
@@ -66,6 +67,21 @@
     )
 
 
+def is_failover_lost(known: Iterable[PrimaryRecord], era: int) -> bool:
+    """Tell whether the store has lost a failover whose end nobody knows.
+
+    :param known: records that instances know from before a search.
+    :param era: the store's present era.
+    """
+    records = list(known)
+    newest = max(one.term for one in records)
+    return any(
+        one.is_changing and (one.is_restored or one.position.era != era)
+        for one in records
+        if one.term == newest
+    )
+
+
 def choose_successor(
     statuses: Iterable[ReplicationStatus], old_primary: str, refused: set[str]
 ) -> ReplicationStatus | None:
--- a/comfreystair/coordination/failover.py
+++ b/comfreystair/coordination/failover.py
@@ -249,7 +249,9 @@
         announced = old_record._replace(
             is_changing=True, position=failover.announced, is_restored=False
         )
-        found = await self._finder.find(failover.group, announced, recipients)
+        found = await self._finder.find(
+            failover.group, old_record, announced, recipients
+        )
         failover = failover._replace(
             old_record=old_record._replace(
                 primary=found.known.primary, term=found.known.term
--- a/comfreystair/coordination/failover_notices.py
+++ b/comfreystair/coordination/failover_notices.py
@@ -46,7 +46,7 @@
     :param unconfirmed: addresses of the instances that did not confirm.
     :param confirmed_at: when the last confirmation arrived, this instance's
         own included.
-    :param known: the newest records that the others know.
+    :param known: the newest records that the others knew before.
     """
 
     unconfirmed: list[str]
@@ -88,15 +88,16 @@
         """
         record = decode_notice(notice)
         self._state.store_era.observe(record.position.era, 'notice')
-        await self.apply(notice.group, record)
         group = self._state.find_group(notice.group)
+        known = group.primary_tracker.record
+        await self.apply(notice.group, record)
         while group.is_promoting:
             await curio.sleep(_POLL_INTERVAL_SECONDS)
         return definitions.GroupConfirmation(
             incarnation=self._state.own.incarnation,
             heard_ms=_UNKNOWN_TIME,
             followers=self._list_followers(),
-            record=encode_notice(notice.group, group.primary_tracker.record),
+            record=encode_notice(notice.group, known),
         )
 
     async def handle_inquiry(self, inquiry) -> object:
@@ -275,7 +276,7 @@
 class _Confirmation(NamedTuple):
     """Confirmation of one instance, with the addresses of its followers.
 
-    :param record: the newest record that it knows.
+    :param record: the newest record that it knew before.
     """
 
     followers: list[str]
--- a/comfreystair/coordination/restored_primary.py
+++ b/comfreystair/coordination/restored_primary.py
@@ -7,7 +7,10 @@
 from collections.abc import Iterable
 from typing import Final, NamedTuple
 
-from comfreystair.controllers.primary_failover import find_undisputed_primary
+from comfreystair.controllers.primary_failover import (
+    find_undisputed_primary,
+    is_failover_lost,
+)
 from comfreystair.controllers.primary_tracking import PrimaryRecord
 from comfreystair.coordination.failover_notices import FailoverNotices
 from comfreystair.coordination.state import FleetState
@@ -56,33 +59,44 @@
         self._log = log
 
     async def find(
-        self, group: str, announced: PrimaryRecord, recipients: Iterable[str]
+        self,
+        group: str,
+        own_record: PrimaryRecord,
+        announced: PrimaryRecord,
+        recipients: Iterable[str],
     ) -> FoundPrimary:
         """Have all instances stop using primaries of a group, and find it.
 
         The present primary is undisputed if no later term is known to any
         instance, or to any of the group's targets. All of one kind must have
-        answered.
+        answered. It must be the targets if a failover was lost before any
+        instance could hear of its end.
 
+        :param own_record: the record that this instance knew before.
         :param announced: the changing record, as it was written.
         :param recipients: addresses of the other instances.
         """
         broadcast = await self._notices.broadcast(
             group, announced, set(recipients)
         )
-        known = max((announced, *broadcast.known), key=lambda one: one.term)
+        records = (own_record, *broadcast.known)
+        known = max((announced, *records), key=lambda one: one.term)
+        is_lost = is_failover_lost(records, announced.position.era)
         statuses = await self._prober.query_group(
             group, busy_seconds=_BUSY_SECONDS
         )
         primary = find_undisputed_primary(statuses, known.term)
         targets = self._state.list_targets(group)
-        is_complete = not broadcast.unconfirmed or len(statuses) == len(targets)
+        is_complete = len(statuses) == len(targets) or not (
+            broadcast.unconfirmed or is_lost
+        )
         self._log.write(
             'primary_searched',
             group=group,
             primary=primary.ident if primary else '',
             known_term=known.term,
             silent=','.join(broadcast.unconfirmed),
+            is_failover_lost=is_lost,
             reports=len(statuses),
         )
         if primary is None or not is_complete:
--- a/comfreystair/peers/comfreystair.thrift
+++ b/comfreystair/peers/comfreystair.thrift
@@ -132,7 +132,7 @@
 
 // What the receiver last heard of the primary, in milliseconds; -1: never.
 // Followers are those that took proofs from the receiver lately. The record is
-// the newest that the receiver knows.
+// the newest that the receiver knew before the notice.
 struct GroupConfirmation {
     1: string incarnation,
     2: i64 heard_ms,
--- a/tests/coordination/test_restored_failover.py
+++ b/tests/coordination/test_restored_failover.py
@@ -178,6 +178,23 @@
         self.assertNotEqual(record.primary, 'one')
         self.assertGreater(record.term, 2)
 
+    # Guards against: the old primary is used beside a new one, which was
+    # promoted in the lost seconds and which nobody can ask.
+    def test_unfinished_failover_needs_all_targets(self) -> None:
+        """Instances that only know its announcement prove nothing."""
+        announced = self.read()._replace(
+            is_changing=True,
+            position=self.store.put('other', b''),
+        )
+        for instance in (self.own, self.peer):
+            with self.subTest(instance=instance.state.own.name):
+                self.setUp()
+                witness = self.own if instance.state.own == OWN else self.peer
+                witness.tracker.update(announced, float('-inf'))
+                self.targets.roles.pop('two')
+                self.restore()
+                self.assertNotEqual(self.fail_over().primary, 'one')
+
     def test_undisputed_primary_is_kept(self) -> None:
         """It is neither demoted nor promoted, and both instances use it."""
         self.restore()
