--- a/comfreystair/coordination/rate_limiter.py
+++ b/comfreystair/coordination/rate_limiter.py
@@ -95,14 +95,15 @@
         keeper. That one may still grant tokens while the list names another
         or none, as after a restore of the store.
         """
-        listed = self._state.keepers
-        return [
-            (zone, keepers[zone])
-            for zone in self._zones
-            for keepers in (listed, self._last_keepers)
-            if zone in keepers
-            and (keepers is listed or keepers[zone] != listed.get(zone))
-        ]
+        found: list[tuple[str, InstanceRecord]] = []
+        for zone in self._zones:
+            listed = self._state.keepers.get(zone)
+            last = self._last_keepers.get(zone)
+            if listed is not None:
+                found.append((zone, listed))
+            if last is not None and last != listed:
+                found.append((zone, last))
+        return found
 
     async def _request_tokens(
         self,
--- a/comfreystair/coordination/target_list.py
+++ b/comfreystair/coordination/target_list.py
@@ -67,23 +67,18 @@
 
         :returns: nothing if the target was removed after a newer entry.
         """
-        known = self._listed.get(entry.ident)
-        if known is not None and _is_outdated(entry, known):
-            self._log_outdated(entry, known)
-            return known
-        removed = self._removed.get(entry.ident)
-        if removed is not None and _is_outdated(entry, removed[0]):
-            self._log_outdated(entry, removed[0])
-            return None
-        return entry
-
-    def _log_outdated(self, entry: TargetEntry, newest: TargetEntry) -> None:
+        listed = self._listed.get(entry.ident)
+        removed, _removed_at = self._removed.get(entry.ident, (None, 0))
+        known = listed or removed
+        if known is None or not _is_outdated(entry, known):
+            return entry
         self._log.write(
             'target_set_aside',
             ident=entry.ident,
             sequence=entry.sequence,
-            known_sequence=newest.sequence,
+            known_sequence=known.sequence,
         )
+        return listed
 
     def _forget_removed(self, now: float) -> None:
         self._removed = {
--- a/comfreystair/fleet/manifest_updater.py
+++ b/comfreystair/fleet/manifest_updater.py
@@ -155,10 +155,7 @@
         asked_at = time.monotonic()
         entry = await self._store.read(ROOT_KEY)
         if entry.revision:
-            root = decode_root(entry.content)
-            await self.record_root(root)
-            self._log_superseded(root)
-            self._controller.confirm(root.version, asked_at)
+            await self._record_stored_root(entry.content, asked_at)
         return entry.revision
 
     async def apply_changes(self, apply: ApplyManifest) -> None:
@@ -179,8 +176,14 @@
                 )
                 await curio.sleep(_RETRY_SECONDS)
 
-    def _log_superseded(self, root: Root) -> None:
-        """Log a root of the store that can't come into force."""
+    async def _record_stored_root(self, content: bytes, at: float) -> None:
+        """Record a root of the store, and that it was the newest at a time.
+
+        A root that can't come into force is logged.
+        """
+        root = decode_root(content)
+        await self.record_root(root)
+        self._controller.confirm(root.version, at)
         if self._controller.is_superseded(root):
             logger.warning(
                 'event=manifest_superseded generation={} known={}',
@@ -200,10 +203,7 @@
         """Watch the root until this daemon is no longer a watcher."""
         revision = await self.read_root()
         async for entry in self._store.watch(ROOT_KEY, revision + 1):
-            root = decode_root(entry.content)
-            await self.record_root(root)
-            self._log_superseded(root)
-            self._controller.confirm(root.version, time.monotonic())
+            await self._record_stored_root(entry.content, time.monotonic())
             if not self._is_watcher():
                 return
 
