--- /dev/null
+++ b/tests/platform/support.py
@@ -0,0 +1,17 @@
+"""What the tests with real processes share."""
+
+import pathlib
+import tempfile
+import unittest
+
+from standins.platform.deployment import Deployment
+
+
+def start_deployment(case: unittest.TestCase) -> Deployment:
+    """Start two instances, which stop at the end of a test."""
+    directory = tempfile.TemporaryDirectory()
+    case.addCleanup(directory.cleanup)
+    deployment = Deployment(pathlib.Path(directory.name), 2)
+    case.addCleanup(deployment.stop)
+    deployment.start()
+    return deployment
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -1,8 +1,6 @@
 """The whole path on the platform, with real processes and a stand-in."""
 
-import pathlib
 import signal
-import tempfile
 import time
 import unittest
 
@@ -10,9 +8,9 @@
     KEY,
     ORGANISATION,
     Caller,
-    Deployment,
     build_plan,
 )
+from tests.platform.support import start_deployment
 
 # A withdrawn key must stop within this time, in seconds.
 REVOKE_SECONDS = 5.0
@@ -25,11 +23,7 @@
 
     def setUp(self) -> None:
         """Start the deployment."""
-        directory = tempfile.TemporaryDirectory()
-        self.addCleanup(directory.cleanup)
-        self.deployment = Deployment(pathlib.Path(directory.name), 2)
-        self.addCleanup(self.deployment.stop)
-        self.deployment.start()
+        self.deployment = start_deployment(self)
 
     def connect(self, database: str, number: int = 0, key: str = KEY) -> Caller:
         """Return a session that ends with the test."""
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -1,11 +1,10 @@
 """The store returns from an older copy, with real processes."""
 
-import pathlib
-import tempfile
 import time
 import unittest
 
-from standins.platform.deployment import KEY, Caller, Deployment, build_plan
+from standins.platform.deployment import KEY, Caller, build_plan
+from tests.platform.support import start_deployment
 
 # A version must be in force within this time, in seconds.
 CONFIGURATION_SECONDS = 3.0
@@ -21,11 +20,7 @@
 
     def setUp(self) -> None:
         """Start the deployment and have two versions that will be lost."""
-        directory = tempfile.TemporaryDirectory()
-        self.addCleanup(directory.cleanup)
-        self.deployment = Deployment(pathlib.Path(directory.name), 2)
-        self.addCleanup(self.deployment.stop)
-        self.deployment.start()
+        self.deployment = start_deployment(self)
         self.wait_for_write(RECOVERY_SECONDS)
         self.deployment.command(save=True)
         for version in (2, 3):
