--- a/review/2/case.py
+++ b/review/2/case.py
@@ -21,6 +21,7 @@
         for number in range(3):
             findings += await play_note(deployment, record, number)
             findings += await play_packet(deployment, record, number)
+        findings += await play_row(deployment, record)
         return findings
     finally:
         await deployment.stop()
@@ -48,6 +49,31 @@
     return check_runs(deployment.service, client, smuggled)
 
 
+async def play_row(deployment, record):
+    """Read a text of several lines, which another program has stored.
+
+    Then other clients read an item that nobody has written.
+    """
+    service = deployment.service
+    text = BREAK.join(('Dear clerk,', 'COMPLETE -', 'READY I 1.1', 'ROW Rosa'))
+    await service.commit(service.primary(), 'stored', {'letter': text})
+    findings = []
+    for number in range(3):
+        for item, row in (('letter', text), ('pitch', 'nothing')):
+            client = fleet.Client(record, f'{item}-reader-{number}')
+            await client.connect(deployment.front(number), 'strict')
+            ident, lines = await client.ask(f'READ {item}', 3)
+            client.close()
+            rows = [one[4:] for one in lines if one.startswith('ROW ')]
+            is_done = any(one.startswith('COMPLETE') for one in lines)
+            if is_done and rows != [row]:
+                findings.append(
+                    f'MIXED: {client.name} was told {lines} for {ident}, '
+                    f'the row is {row!r}'
+                )
+    return findings
+
+
 def check_runs(service, client, smuggled=''):
     """Return what ran and was sent by nobody, or with another text."""
     findings = []
--- a/review/fleet.py
+++ b/review/fleet.py
@@ -12,6 +12,7 @@
 import json
 import os
 import pathlib
+import random
 import resource
 import signal
 import socket
@@ -878,14 +879,18 @@
 
 
 def find_ports(count):
-    """Return free ports."""
-    socks = [socket.socket() for _ in range(count)]
-    for sock in socks:
-        sock.bind((HOST, 0))
-    ports = [sock.getsockname()[1] for sock in socks]
-    for sock in socks:
-        sock.close()
-    return ports
+    """Return free ports, below those that outgoing connections use."""
+    ports = []
+    for port in random.sample(range(10000, 30000), 2000):
+        with socket.socket() as sock:
+            try:
+                sock.bind((HOST, port))
+            except OSError:
+                continue
+        ports.append(port)
+        if len(ports) == count:
+            return ports
+    raise OSError('not enough free ports')
 
 
 def run_case(play, folder):
