--- a/review/fleet.py
+++ b/review/fleet.py
@@ -569,7 +569,17 @@
         return self._ports[number][0]
 
     async def start(self):
-        """Start the platform, then the entry processes, until all are ready."""
+        """Start the platform, then the entry processes, until all are ready.
+
+        If that fails, what was started is ended.
+        """
+        try:
+            await self._start()
+        except BaseException:
+            await self.stop()
+            raise
+
+    async def _start(self):
         for port, handle in (
             (self._store_port, self._serve_http),
             (self._cloud_port, self._serve_http),
