Keep items, session values and prepared statements in separate fields

A session that had prepared `badge` and then sent `WRITE badge paid` was told COMPLETE for a write that is in no log; `READ badge` could run a prepared write.

Cause: `Statement.name` held the item, the name of a session value or that of a prepared statement, and `build_request` looked it up among the prepared statements for every kind. With a prepared statement attached, the request is sent as EXECUTE and takes the mode of the prepared statement.

Ruled out: the gateways, which receive the resolved statement and not its name; the pool's own names `c1` to `cN`, which callers never see; PostgreSQL sessions, whose portals and statements have separate tables.

The fields `item`, `value_name` and `prepared_name` replace `name`, and only an execution resolves a prepared statement. A name of one kind can no longer be found among those of another one.

--- a/comfreystair/platform/lines.py
+++ b/comfreystair/platform/lines.py
@@ -56,6 +56,16 @@
     'READ': StatementKind.prepare_read,
     'WRITE': StatementKind.prepare_write,
 }
+# What the first field of a statement names, as a field of `Statement`.
+_NAME_FIELDS: Final = {  # noqa: WPS407
+    StatementKind.read: 'item',
+    StatementKind.write: 'item',
+    StatementKind.set_value: 'value_name',
+    StatementKind.prepare_read: 'prepared_name',
+    StatementKind.prepare_write: 'prepared_name',
+    StatementKind.execute: 'prepared_name',
+    StatementKind.close: 'prepared_name',
+}
 
 
 class LineReader:
@@ -104,7 +114,10 @@
     kind = _find_kind(word, name, argument)
     if kind in _PREPARE_KINDS.values():
         argument = argument.partition(' ')[2]
-    return Statement(ident, kind, text, name, argument)
+    field = _NAME_FIELDS.get(kind)
+    if field is None:
+        return Statement(ident, kind, text)
+    return Statement(ident, kind, text, argument=argument, **{field: name})
 
 
 def _find_kind(word: str, name: str, argument: str) -> StatementKind:
--- a/comfreystair/sessions/execution.py
+++ b/comfreystair/sessions/execution.py
@@ -19,7 +19,9 @@
     NOT_RUN_FAILURES,
     Answer,
     Failure,
+    PreparedStatement,
     Statement,
+    StatementKind,
 )
 from comfreystair.sessions.target_selector import (
     SelectedTarget,
@@ -162,7 +164,7 @@
         statement,
         organisation,
         dict(session.values),
-        session.prepared.get(statement.name),
+        _find_prepared(session, statement),
         None,
         route.priority,
         0,
@@ -170,6 +172,15 @@
     )
 
 
+def _find_prepared(
+    session: Session, statement: Statement
+) -> PreparedStatement | None:
+    """Return the prepared statement that a statement executes, if any."""
+    if statement.kind is not StatementKind.execute:
+        return None
+    return session.prepared.get(statement.prepared_name)
+
+
 def _build_requirements(
     session: Session, route: ServingRoute, request: StatementRequest
 ) -> TargetRequirements:
--- a/comfreystair/sessions/manager.py
+++ b/comfreystair/sessions/manager.py
@@ -390,7 +390,7 @@
     if statement.kind in _END_KINDS and session.transaction is None:
         return build_failed_answer(Failure.malformed, 'no transaction is open')
     is_execute = statement.kind is StatementKind.execute
-    if is_execute and statement.name not in session.prepared:
+    if is_execute and statement.prepared_name not in session.prepared:
         return build_failed_answer(
             Failure.unknown_statement, 'not prepared here'
         )
@@ -422,9 +422,9 @@
 
     Any other statement is malformed.
     """
-    kind, name = statement.kind, statement.name
+    kind, name = statement.kind, statement.prepared_name
     if kind is StatementKind.set_value:
-        session.values[name] = statement.argument
+        session.values[statement.value_name] = statement.argument
     elif kind is StatementKind.prepare_read:
         session.prepared[name] = PreparedStatement(statement.argument, False)
     elif kind is StatementKind.prepare_write:
--- a/comfreystair/sessions/statements.py
+++ b/comfreystair/sessions/statements.py
@@ -60,15 +60,20 @@
 
     :param ident: the id that the caller gave it, forwarded unchanged.
     :param text: the whole text, forwarded unchanged.
-    :param name: name of the session value or prepared statement, if any.
-    :param argument: the session value, the text to prepare, or the arguments
-        of a prepared statement.
+    :param item: what a read or write is for; no other kind has one.
+    :param value_name: name of the session value to set.
+    :param prepared_name: name of the prepared statement to prepare, execute or
+        close.
+    :param argument: the session value, the text to prepare, the data of a
+        write, or the arguments of a prepared statement.
     """
 
     ident: str
     kind: StatementKind
     text: str
-    name: str = ''
+    item: str = ''
+    value_name: str = ''
+    prepared_name: str = ''
     argument: str = ''
 
 
--- a/tests/platform/test_lines.py
+++ b/tests/platform/test_lines.py
@@ -50,9 +50,33 @@
     def test_parts(self) -> None:
         """Names and arguments are split, the text stays whole."""
         statement = parse_statement('7', 'PREPARE s1 WRITE q 2')
-        self.assertEqual((statement.name, statement.argument), ('s1', 'q 2'))
+        self.assertEqual(
+            (statement.prepared_name, statement.argument), ('s1', 'q 2')
+        )
         self.assertEqual(statement.text, 'PREPARE s1 WRITE q 2')
 
+    def test_each_kind_of_name_has_its_field(self) -> None:
+        """Guards against a name that is looked up among those of another kind.
+
+        Fields: the item, the session value, the prepared statement.
+        """
+        forms = {
+            'READ a': ('a', '', ''),
+            'WRITE a b': ('a', '', ''),
+            'SET a b': ('', 'a', ''),
+            'PREPARE a READ q': ('', '', 'a'),
+            'PREPARE a WRITE q': ('', '', 'a'),
+            'EXECUTE a b': ('', '', 'a'),
+            'CLOSE a': ('', '', 'a'),
+            'BEGIN': ('', '', ''),
+            'COMMIT': ('', '', ''),
+            'DROP a': ('', '', ''),
+        }
+        for text, names in forms.items():
+            read = parse_statement('1', text)
+            found = (read.item, read.value_name, read.prepared_name)
+            self.assertEqual(found, names, text)
+
     def test_failures_go_both_ways(self) -> None:
         """Every failure has a code of its own."""
         for failure in Failure:
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -62,6 +62,18 @@
         caller.ask('ROLLBACK')
         self.assertEqual(caller.ask('READ b')[0], 'ROW kept')
 
+    def test_item_named_like_a_prepared_statement(self) -> None:
+        """Guards against a write that runs a prepared read in its place."""
+        caller = self.connect('strict')
+        self.wait_for_write(caller, CHANGE_SECONDS)
+        caller.ask('PREPARE badge READ q')
+        self.assertIn('COMPLETE t-', caller.ask('WRITE badge paid')[0])
+        self.assertEqual(caller.ask('READ badge')[0], 'ROW paid')
+        caller.ask('BEGIN')
+        caller.ask('WRITE badge renewed')
+        self.assertIn('COMPLETE t-', caller.ask('COMMIT')[0])
+        self.assertEqual(caller.ask('READ badge')[0], 'ROW renewed')
+
     def test_targets_get_organisation_never_key(self) -> None:
         """Targets see the organisation; key and logs stay apart."""
         caller = self.connect('loose')
