Limit an organisation that is named like callers without a key

An organisation named `public` had no rate limit: callers without a key are identified by that name, and the rate limiter exempted the name.

The session's key decides now whether a limit applies. What targets are told is unchanged.

--- a/comfreystair/coordination/rate_limiter.py
+++ b/comfreystair/coordination/rate_limiter.py
@@ -16,7 +16,6 @@
 )
 from comfreystair.coordination.records import InstanceRecord
 from comfreystair.coordination.state import FleetState
-from comfreystair.manifest.serving import PUBLIC_CLIENT
 from comfreystair.observability.decisions import DecisionLog
 from comfreystair.peers import PeerClients, PeerError
 from comfreystair.peers.messages import definitions
@@ -63,13 +62,9 @@
     async def admit(self, organisation: str) -> float | None:
         """Spend one of an organisation's tokens, asking keepers if needed.
 
-        Requests of the public client are not limited.
-
         :returns: nothing when the request is admitted, else the seconds after
             which it should be retried.
         """
-        if organisation == PUBLIC_CLIENT:
-            return None
         held_tokens = self._held_tokens.setdefault(
             organisation, GrantedTokens()
         )
--- a/comfreystair/manifest/serving.py
+++ b/comfreystair/manifest/serving.py
@@ -64,6 +64,8 @@
     owners: dict[str, str]
 
 
+# What targets are told of callers without a key. An organisation may have the
+# same name, so it does not identify these callers.
 PUBLIC_CLIENT = 'public'
 
 
--- a/comfreystair/sessions/manager.py
+++ b/comfreystair/sessions/manager.py
@@ -225,7 +225,7 @@
         # its tokens when there is a target again.
         refusal = self._executor.reject_hopeless(
             session, route, organisation, statement
-        ) or await self._apply_rate_limit(organisation)
+        ) or await self._apply_rate_limit(session)
         if refusal is not None:
             return refusal
         return await self._executor.run(session, route, organisation, statement)
@@ -245,7 +245,7 @@
         organisation = self._find_organisation(session)
         refusal = self._executor.reject_hopeless(
             session, route, organisation, statement
-        ) or await self._apply_rate_limit(organisation)
+        ) or await self._apply_rate_limit(session)
         if refusal is not None:
             return refusal
         is_read_only = statement.kind is StatementKind.begin_read
@@ -275,7 +275,16 @@
             transaction.is_failed = True
             await self._transactions.rollback(transaction)
 
-    async def _apply_rate_limit(self, organisation: str) -> Answer | None:
+    async def _apply_rate_limit(self, session: Session) -> Answer | None:
+        """Spend a token of the organisation that holds the session's key.
+
+        Sessions without a known key are not limited, whatever organisations
+        are named.
+        """
+        plan = self._state.plan
+        organisation = plan.owners.get(session.key) if plan else None
+        if organisation is None:
+            return None
         retry_seconds = await self._rate_limiter.admit(organisation)
         if retry_seconds is None:
             return None
