End messages at CR LF only and replace connections with waiting input

A line feed in the last field ended a statement: its rest ran as statements that nobody had sent, under ids that nobody had given. A row of several lines was taken for the end of its answer, and the rest stayed on the connection: from then on callers were given the answers of others.

Cause: `LineReader` looked for LF and stripped carriage returns, while the protocol ends a message at CR LF. It reads at both edges. Ruled out: the pool and the gateways mixing connections; with the reader fixed alone, the case holds.

The reader now ends a line at CR LF only. So that no other shifted answer can reach a caller, a pooled connection with waiting input, or one that has ended, is replaced before it is used; in a transaction, input that was read past the last answer ends the connection. Same cause elsewhere: names of other writers in STARTUP are rejected where they would end a field or a message (`format_message`), and ids with line feeds or quotes no longer forge or lose lines of the decision log. The stand-in's targets follow the protocol.

--- a/comfreystair/callers/sessions.py
+++ b/comfreystair/callers/sessions.py
@@ -1,6 +1,5 @@
 """Serve one caller after its login, batch by batch."""
 
-import select
 import time
 from typing import Final, NamedTuple
 
@@ -12,6 +11,7 @@
 from comfreystair.callers.own_settings import answer_locally, is_local
 from comfreystair.callers.texts import classify_texts, find_texts
 from comfreystair.conf.schema import CallersSection
+from comfreystair.dialing import has_input
 from comfreystair.filters import request_errors
 from comfreystair.filters.exceptions import RequestError
 from comfreystair.filters.request import Handler, Request
@@ -98,9 +98,7 @@
     @property
     def has_input(self) -> bool:
         """Tell whether the caller sent something that was not read yet."""
-        poller = select.poll()
-        poller.register(self._sock.fileno(), select.POLLIN)
-        return bool(poller.poll(0))
+        return has_input(self._sock)
 
     async def serve(self) -> None:
         """Serve until the caller leaves or an error ends the session.
--- a/comfreystair/dialing.py
+++ b/comfreystair/dialing.py
@@ -1,5 +1,6 @@
-"""Open TCP connections from this instance's own address."""
+"""Open TCP connections from this instance's own address, and look at them."""
 
+import select
 from collections.abc import Awaitable, Callable
 
 from curio import socket
@@ -27,3 +28,10 @@
         return sock
 
     return dial
+
+
+def has_input(sock: socket.socket) -> bool:
+    """Tell whether input, or the end of the connection, waits to be read."""
+    poller = select.poll()
+    poller.register(sock.fileno(), select.POLLIN)
+    return bool(poller.poll(0))
--- a/comfreystair/observability/decisions.py
+++ b/comfreystair/observability/decisions.py
@@ -18,7 +18,8 @@
 _FLUSH_SECONDS: Final = 0.25
 # Lines of one event in a second beyond which they are only counted.
 _MOST_A_SECOND: Final = 40
-_QUOTED: Final = frozenset(' "=')
+_QUOTED: Final = frozenset(' "=\'\\')
+_ESCAPES: Final = str.maketrans({'"': "'", '\\': r'\\'})
 
 
 class DecisionLog:
@@ -94,7 +95,9 @@
     if isinstance(content, float):
         return f'{content:.3f}'
     text = str(content)
-    if not text or _QUOTED.intersection(text):
-        escaped = text.replace('"', "'").replace('\n', ' ')
-        return f'"{escaped}"'
-    return text
+    if text.isprintable() and text and not _QUOTED.intersection(text):
+        return text
+    escaped = ''.join(
+        character if character.isprintable() else ' ' for character in text
+    )
+    return f'"{escaped.translate(_ESCAPES)}"'
--- a/comfreystair/platform/lines.py
+++ b/comfreystair/platform/lines.py
@@ -1,6 +1,8 @@
 """The line protocol that callers and targets speak.
 
-A message is a word and fields, separated by blanks, ended by CR LF.
+A message is a word and fields, separated by blanks, ended by CR LF. The last
+field may contain anything but that end, also a line feed or a carriage return
+alone.
 """
 
 from typing import Final
@@ -19,7 +21,8 @@
 # Bound on one message, in bytes, as the protocol states it.
 MAX_LINE_BYTES: Final = 1048576
 _READ_BYTES: Final = 65536
-_END: Final = b'\n'
+_END: Final = b'\r\n'
+_SEPARATOR: Final = ' '
 _NO_POSITION: Final = '-'
 OWN_IDENT: Final = '-'
 
@@ -90,20 +93,34 @@
         while end < 0:
             if len(self._buffer) > MAX_LINE_BYTES:
                 raise MalformedError('a line over 1 MiB', 'read')
-            searched = len(self._buffer)
+            # The end may have arrived in part.
+            searched = max(len(self._buffer) - len(_END) + 1, 0)
             chunk = await self._sock.recv(_READ_BYTES)
             if not chunk:
                 return ''
             self._buffer += chunk
             end = self._buffer.find(_END, searched)
         line = bytes(self._buffer[:end])
-        del self._buffer[: end + 1]
+        del self._buffer[: end + len(_END)]
         try:
-            return line.decode().rstrip('\r')
+            return line.decode()
         except UnicodeDecodeError as error:
             raise MalformedError('a line that is not UTF-8', 'read') from error
 
 
+def format_message(*fields: str) -> bytes:
+    """Return a message of a word and fields.
+
+    :raises MalformedError: when a field would end the message, or one before
+        the last would be read as two.
+    """
+    message = _SEPARATOR.join(fields).encode()
+    has_separator = any(_SEPARATOR in field for field in fields[:-1])
+    if has_separator or _END in message:
+        raise MalformedError('a field that separates or ends fields', 'format')
+    return message + _END
+
+
 def parse_statement(ident: str, text: str) -> Statement:
     """Read a caller's statement; what is none has the kind ``malformed``."""
     plain = _PLAIN_KINDS.get(text)
@@ -158,7 +175,7 @@
         return None
     term, _, number = text.partition('.')
     if not (term.isdecimal() and number.isdecimal()):
-        raise MalformedError(f'no position: {text:.40}', 'read')
+        raise MalformedError(f'no position: {text!r:.40}', 'read')
     return Position(int(term), int(number))
 
 
--- a/comfreystair/platform/targets.py
+++ b/comfreystair/platform/targets.py
@@ -6,11 +6,12 @@
 from curio import socket
 
 from comfreystair.controllers.positions import Position
-from comfreystair.dialing import Dial
+from comfreystair.dialing import Dial, has_input
 from comfreystair.platform.exceptions import MalformedError
 from comfreystair.platform.lines import (
     OWN_IDENT,
     LineReader,
+    format_message,
     format_position,
     parse_failure,
     parse_position,
@@ -55,6 +56,14 @@
         self._peer = peer
         self._reader = LineReader(sock)
 
+    @property
+    def has_input(self) -> bool:
+        """Tell whether input waits that belongs to no statement.
+
+        The end of the connection counts as input.
+        """
+        return self._reader.has_input or has_input(self._sock)
+
     async def forward(
         self,
         statement: Statement,
@@ -133,7 +142,7 @@
         word = line.partition(' ')[0]
         if word not in _VERDICTS or not end.startswith(_READY):
             raise MalformedError(
-                f'unexpected "{line:.40}", "{end:.40}"', 'read'
+                f'unexpected {line!r:.40}, {end!r:.40}', 'read'
             )
         return _build_ready(tuple(rows), line, end.removeprefix(_READY))
 
@@ -142,20 +151,24 @@
 
         :raises TargetRefusedError: with the target's reason.
         """
-        hello = f'STARTUP {service} {organisation} {ident}\r\n'
-        await self._sock.sendall(hello.encode())
+        await self._sock.sendall(
+            format_message('STARTUP', service, organisation, ident)
+        )
         line = await self._reader.read()
         word, _, rest = line.partition(' ')
         if word == 'ERROR':
             code = rest.partition(' ')[0]
             raise TargetRefusedError(parse_failure(code), self._peer)
         if word != 'READY':
-            raise MalformedError(f'unexpected "{line:.40}"', 'startup')
+            raise MalformedError(f'unexpected {line!r:.40}', 'startup')
 
     async def _ask(self, ident: str, text: str, seconds: float) -> Answer:
+        if self._reader.has_input:
+            # It would be taken for the answer.
+            raise TargetLostError('unexpected input', 'ask', self._peer)
         try:
             async with curio.timeout_after(seconds):
-                await self._sock.sendall(f'QUERY {ident} {text}\r\n'.encode())
+                await self._sock.sendall(format_message('QUERY', ident, text))
                 ready = await self.read_answer()
         except curio.TaskTimeout as error:
             raise TargetLostError('no answer in time', 'ask', self._peer) from (
--- a/comfreystair/pooling/pool.py
+++ b/comfreystair/pooling/pool.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 import curio
+from loguru import logger
 
 from comfreystair.clocks import read_clock
 from comfreystair.controllers.checkout import (
@@ -124,8 +125,16 @@
             )
         if decision.action is CheckoutAction.reuse:
             pooled = self._idle.pop(decision.idle_connection)
-            pooled.used_at = read_clock()
-            return pooled
+            if not pooled.connection.has_input:
+                pooled.used_at = read_clock()
+                return pooled
+            # What waits would be taken for the answer to the next statement.
+            logger.info(
+                'event=connection_replaced target={} reason="input or end"',
+                self._entry.ident,
+            )
+            await pooled.connection.close()
+            decision = CheckoutDecision(CheckoutAction.open)
         return await self._open_new(decision, organisation, seconds)
 
     async def release(self, pooled: PooledConnection) -> None:
--- a/comfreystair/pooling/targets.py
+++ b/comfreystair/pooling/targets.py
@@ -49,6 +49,13 @@
     Every ``seconds`` bounds the wait for the target's answer.
     """
 
+    @property
+    def has_input(self) -> bool:
+        """Tell whether input waits that belongs to no statement.
+
+        The end of the connection counts as input.
+        """
+
     async def forward(
         self,
         statement: Statement,
--- a/standins/platform/deployment.py
+++ b/standins/platform/deployment.py
@@ -286,4 +286,10 @@
         self._sock.close()
 
     def _read_line(self) -> str:
-        return self._stream.readline().decode().rstrip('\r\n')
+        line = self._stream.readline()
+        while line and not line.endswith(b'\r\n'):
+            more = self._stream.readline()
+            if not more:
+                break
+            line += more
+        return line.decode().removesuffix('\r\n')
--- a/standins/platform/wire.py
+++ b/standins/platform/wire.py
@@ -126,19 +126,28 @@
         return f'READY {state} {self._copy.term}.{applied}\r\n'
 
 
+async def read_lines(client):
+    """Yield what ends at CR LF; a line feed alone is part of a line."""
+    pending = b''
+    while chunk := await client.recv(65536):
+        *lines, pending = (pending + chunk).split(b'\r\n')
+        for line in lines:
+            yield line.decode()
+
+
 async def serve_target(client, group: Group, copy: Copy) -> None:
     """Serve one connection until the target goes down or it is closed."""
     async with client:
-        stream = client.as_stream()
-        words = (await stream.readline()).decode().split()
+        lines = read_lines(client)
+        words = (await anext(lines, '')).split()
         if not copy.is_up or words[:2] != ['STARTUP', group.name]:
             await client.sendall(b'ERROR WRONGNODE -\r\n')
             return
         session = TargetSession(group, copy, words[2])
         await client.sendall(b'READY I -\r\n')
-        async for line in stream:
+        async for line in lines:
             if not copy.is_up:
                 return
-            _, ident, text = line.decode().rstrip('\r\n').split(' ', 2)
+            _, ident, text = line.split(' ', 2)
             await curio.sleep(0.001)
             await client.sendall(session.answer(ident, text).encode())
--- a/tests/gateways/fleet.py
+++ b/tests/gateways/fleet.py
@@ -79,6 +79,7 @@
         """Represent a connection that the target already counts."""
         self._target = target
         self._organisation = organisation
+        self.has_input = False
 
     async def forward(self, statement, _floor, _name, _seconds) -> Answer:
         """Record a statement and answer with the organisation after 2 ms."""
--- a/tests/observability/test_decisions.py
+++ b/tests/observability/test_decisions.py
@@ -1,8 +1,10 @@
 """Decision lines are bounded, and a reader that stops delays nobody."""
 
+import io
 import os
 import unittest
 
+from comfreystair.management.decision_lines import read_lines
 from comfreystair.observability.decisions import DecisionLog
 
 LINES = 20000
@@ -40,6 +42,20 @@
         self.assertIn('event=other', written)
         self.assertGreater(self.log.left_out, 0)
 
+    def test_any_content_stays_in_its_field(self) -> None:
+        """Guards against ids with line feeds or quotes that forge a line."""
+        idents = ('7\nat=1 instance=x event=served id=8', "it's", 'a\\', 'a\r')
+        for ident in idents:
+            self.log.write('not_served', id=ident, phase='idle')
+        self.log.flush()
+        written = os.read(self.reading, LINES).decode()
+        self.assertEqual(written.count('\n'), len(idents))
+        lines = read_lines([io.StringIO(written, newline=None)])
+        self.assertEqual(
+            [(one.event, one.fields['phase']) for one in lines],
+            [('not_served', 'idle')] * len(idents),
+        )
+
     def test_lines_are_whole_when_the_reader_comes_back(self) -> None:
         """A line that was written in part is continued."""
         for number in range(1500):
--- a/tests/platform/test_lines.py
+++ b/tests/platform/test_lines.py
@@ -13,12 +13,19 @@
     MAX_LINE_BYTES,
     LineReader,
     format_failure,
+    format_message,
     parse_failure,
     parse_position,
     parse_statement,
 )
 from comfreystair.platform.targets import TargetConnection
-from comfreystair.sessions.statements import Failure, StatementKind
+from comfreystair.pooling.exceptions import TargetLostError
+from comfreystair.sessions.statements import (
+    Answer,
+    Failure,
+    Statement,
+    StatementKind,
+)
 
 EXAMPLES = 5000
 
@@ -117,6 +124,100 @@
                 return
 
 
+class FramingTest(unittest.TestCase):
+    """Only CR LF ends a line, at callers and at targets."""
+
+    @settings(max_examples=EXAMPLES // 10, derandomize=True, deadline=None)
+    @given(
+        st.lists(
+            st.text('ab \r\n', min_size=1, max_size=12).filter(
+                lambda text: '\r\n' not in f'{text}\r'
+            ),
+            max_size=4,
+        ),
+        st.integers(1, 5),
+    )
+    def test_any_line_is_read_as_it_was_sent(
+        self, lines: list[str], size: int
+    ) -> None:
+        """Guards against lines that end or lose bytes at a lone CR or LF.
+
+        They arrive in pieces, so that an end may be split.
+        """
+        wire = b''.join(format_message(line) for line in lines)
+        chunks = [wire[at : at + size] for at in range(0, len(wire), size)]
+        read = curio.run(self._read_lines, chunks, len(lines))
+        self.assertEqual(read, lines)
+
+    def test_field_that_ends_a_message_is_refused(self) -> None:
+        """Guards against names of other writers that smuggle a message."""
+        for fields in (('QUERY', '1', 'a\r\nQUERY 2 b'), ('QUERY', '1 2', 'a')):
+            with self.assertRaises(MalformedError):
+                format_message(*fields)
+        message = format_message('QUERY', '1', 'WRITE a b\nc')
+        self.assertEqual(message, b'QUERY 1 WRITE a b\nc\r\n')
+
+    async def _read_lines(self, chunks: list[bytes], count: int) -> list[str]:
+        reader = LineReader(FakeSocket(chunks))
+        return [await reader.read() for _ in range(count)]
+
+
+class FakeSocket:
+    """A socket that hands out chunks, and then ends."""
+
+    def __init__(self, chunks: list[bytes]) -> None:
+        """Initialise with what will be received."""
+        self._chunks = list(chunks)
+
+    async def recv(self, _most: int) -> bytes:
+        """Return the next chunk."""
+        return self._chunks.pop(0) if self._chunks else b''
+
+
+class TargetAnswerTest(unittest.TestCase):
+    """Answers of a target that holds texts of several lines."""
+
+    def ask(self, wire: bytes, count: int = 1) -> tuple[list[Answer], bool]:
+        """Read an item from a target that sends some bytes at once.
+
+        :returns: the answers, and whether input is left on the connection.
+        """
+        return curio.run(self._ask, wire, count)
+
+    def test_row_of_several_lines_is_one_row(self) -> None:
+        """Guards against a row that is taken for the end of its answer."""
+        row = 'Dear clerk,\nCOMPLETE -\nREADY I 1.1\nROW Rosa'
+        wire = f'ROW {row}\r\nCOMPLETE s\r\nREADY I 1.2\r\n'.encode()
+        answers, has_input = self.ask(wire)
+        self.assertEqual((answers[0].rows, answers[0].signature), ((row,), 's'))
+        self.assertFalse(has_input)
+
+    def test_input_after_an_answer_shows(self) -> None:
+        """Guards against a connection that is reused with an answer unread."""
+        wire = b'COMPLETE s\r\nREADY I 1.2\r\nCOMPLETE t\r\nREADY I 1.2\r\n'
+        answers, has_input = self.ask(wire)
+        self.assertEqual(answers[0].signature, 's')
+        self.assertTrue(has_input)
+
+    def test_input_after_an_answer_is_no_answer(self) -> None:
+        """Guards against the same inside a transaction."""
+        wire = b'COMPLETE s\r\nREADY T 1.2\r\nCOMPLETE t\r\nREADY T 1.2\r\n'
+        with self.assertRaises(TargetLostError):
+            self.ask(wire, count=2)
+
+    async def _ask(self, wire: bytes, count: int) -> tuple[list[Answer], bool]:
+        ours, theirs = socket.socketpair()
+        read = Statement('1', StatementKind.read, 'READ a')
+        async with ours, theirs:
+            await theirs.sendall(wire)
+            connection = TargetConnection(ours, 'stand-in')
+            answers = [
+                await connection.forward(read, None, '', 1.0)
+                for _ in range(count)
+            ]
+            return answers, connection.has_input
+
+
 class BoundTest(unittest.TestCase):
     """A line without an end does not fill the memory."""
 
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -74,6 +74,19 @@
         self.assertIn('COMPLETE t-', caller.ask('COMMIT')[0])
         self.assertEqual(caller.ask('READ badge')[0], 'ROW renewed')
 
+    def test_line_feeds_are_data(self) -> None:
+        """Guards against a line feed that ends a statement or a row."""
+        caller = self.connect('strict')
+        self.wait_for_write(caller, CHANGE_SECONDS)
+        note = 'first\nQUERY 00ff WRITE badge smuggled\nCOMPLETE -\nREADY I 1.1'
+        self.assertIn('COMPLETE t-', caller.ask(f'WRITE note {note}')[0])
+        for _ in range(3):
+            self.assertEqual(caller.ask('READ note')[0], f'ROW {note}')
+            self.assertEqual(caller.ask('READ badge')[0], 'ROW nothing')
+        runs = self.deployment.command()['runs']
+        idents = {run[0] for listed in runs.values() for run in listed}
+        self.assertNotIn('00ff', idents)
+
     def test_targets_get_organisation_never_key(self) -> None:
         """Targets see the organisation; key and logs stay apart."""
         caller = self.connect('loose')
--- a/tests/pooling/test_pool.py
+++ b/tests/pooling/test_pool.py
@@ -20,6 +20,7 @@
         """Open the connection for an organisation."""
         self.organisation = organisation
         self.is_closed = False
+        self.has_input = False
         self.calls: list[str] = []
 
     async def set_value(self, name: str, text: str, _seconds: float):
@@ -53,6 +54,35 @@
         self.opened.append(FakeConnection(organisation))
         return self.opened[-1]
 
+    def test_connection_with_waiting_input_is_replaced(self) -> None:
+        """Guards against an answer that goes to the next caller."""
+
+        async def scenario() -> None:
+            pooled = await self.pool.acquire('red', 0, 1.0)
+            await self.pool.release(pooled)
+            pooled.connection.has_input = True
+            again = await self.pool.acquire('red', 0, 1.0)
+            self.assertIsNot(again, pooled)
+            await self.pool.release(again)
+
+        curio.run(scenario)
+        self.assertEqual([one.is_closed for one in self.opened], [True, False])
+        self.assertEqual(self.pool.in_use, 0)
+
+    def test_ended_connection_whose_target_is_gone(self) -> None:
+        """Guards against a place in the pool that stays taken."""
+
+        async def scenario() -> None:
+            pooled = await self.pool.acquire('red', 0, 1.0)
+            await self.pool.release(pooled)
+            pooled.connection.has_input = True
+            self.is_reachable = False
+            with self.assertRaises(TargetLostError):
+                await self.pool.acquire('red', 0, 1.0)
+
+        curio.run(scenario)
+        self.assertEqual(self.pool.in_use, 0)
+
     def test_idle_connection_is_reused(self) -> None:
         """Its organisation reuses it; another one replaces the oldest."""
 
