Promote only targets that are proved to hold what SyncReplicas acknowledged

SyncReplicas 1, one replica draining, the other deaf, the primary crashes: the deaf one was promoted within 1.1 s and all commits acknowledged since it went deaf were lost.

Cause: nothing read SyncReplicas. A promotion took the most advanced log of the first reports, without targets that are leaving, and without asking whether a target that gave no report may hold more. Ruled out: the lists (both entries were current) and the end of the old primary's log (it is unknown after a crash). Leaving targets alone are not the cause: a busy or crashed replica in place of the draining one loses commits as well.

With SyncReplicas a target is now promoted only up to a proved end: that of the old primary's log after its last commit, or the most advanced of the replicas' logs if fewer than SyncReplicas are unheard. A replica that is no longer listed or was restarted without its log counts as unheard until the others hold what the primary had written since. A target that is leaving is promoted as the last resort, and a primary that leaves stays until a replica follows it. Groups without SyncReplicas take the same decisions as before.

specs/sync_replicas.py holds in all its states and refutes two weaker decisions.

--- a/comfreystair/controllers/primary_failover.py
+++ b/comfreystair/controllers/primary_failover.py
@@ -21,6 +21,7 @@
 
     :param received: position of the last entry in its log.
     :param is_leaving: it accepts no new requests and ends soon.
+    :param address: of the target; its log is kept there.
     """
 
     ident: str
@@ -28,6 +29,7 @@
     term: int
     received: Position
     is_leaving: bool
+    address: str = ''
 
 
 def find_other_primary(
@@ -107,6 +109,36 @@
     )
 
 
+def choose_durable_successor(
+    statuses: Iterable[ReplicationStatus],
+    old_primary: str,
+    refused: set[str],
+    durable_end: Position,
+) -> ReplicationStatus | None:
+    """Return the best target whose log holds all acknowledged commits, if any.
+
+    One that is leaving is returned only when no other one holds them: it leads
+    until another one has received its log.
+
+    :param refused: ids of targets that could not be promoted.
+    :param durable_end: position up to which a log holds these commits.
+    """
+    return max(
+        (
+            status
+            for status in statuses
+            if status.received >= durable_end and status.ident not in refused
+        ),
+        key=lambda status: (
+            not status.is_leaving,
+            status.received,
+            status.ident != old_primary,
+            status.ident,
+        ),
+        default=None,
+    )
+
+
 def has_caught_up(
     statuses: Iterable[ReplicationStatus],
     end: Position | None,
--- a/comfreystair/coordination/failover.py
+++ b/comfreystair/coordination/failover.py
@@ -9,7 +9,8 @@
    its contact with other zones if that is sooner.
 3. Demote the old primary meanwhile, if it can be reached.
 4. Wait for a limited time until a successor has received the old primary's
-   log.
+   log. In a group with synchronous replication, wait until a successor is
+   proved to hold all acknowledged commits.
 5. Promote the successor.
 6. Write the new record and publish it to all instances.
 
@@ -28,6 +29,7 @@
 from comfreystair.controllers.positions import Position
 from comfreystair.controllers.primary_failover import (
     ReplicationStatus,
+    choose_durable_successor,
     choose_successor,
     find_other_primary,
     has_caught_up,
@@ -39,6 +41,7 @@
 )
 from comfreystair.controllers.store_position import ABSENT, StorePosition
 from comfreystair.coordination.exceptions import FailoverError
+from comfreystair.coordination.durable_logs import DurableEndFinder
 from comfreystair.coordination.failover_notices import (
     Broadcast,
     FailoverNotices,
@@ -139,6 +142,7 @@
         self._promote = promote
         self._log = log
         self._finder = RestoredPrimaryFinder(state, notices, prober, log)
+        self._durable_ends = DurableEndFinder(state, store, prober, log)
         self._started_at = read_clock()
 
     async def fail_over(self, name: str, reason: str, is_planned: bool) -> None:
@@ -149,6 +153,8 @@
         :param is_planned: the old primary is to leave the group and still runs.
         :raises ComfreystairError: its ``step`` names the step that failed.
         """
+        if self._state.find_sync_replicas(name):
+            await self._durable_ends.prepare(name, is_planned)
         failover = await self._announce(name, reason, is_planned)
         undisputed = None
         if failover.old_record.is_restored:
@@ -225,6 +231,7 @@
             old_record.term,
             is_changing=True,
             era=lease.era,
+            addresses=self._list_log_addresses(name),
         )
         return await self._store.compare_and_set(
             {lease_key: held_at, key: old_record.position},
@@ -434,7 +441,9 @@
 
         A target is promoted once a successor has received the old primary's
         log, the time for this has passed, or the end of the log is not known.
-        In a group without an old primary, none is promoted.
+        In a group with synchronous replication it must be proved to hold all
+        acknowledged commits. In a group without an old primary, none is
+        promoted.
 
         :returns: the id of the new primary and its term.
         :raises FailoverError: when there is none before the lease expires.
@@ -451,6 +460,7 @@
             )
             if other_primary is not None:
                 return other_primary.ident, other_primary.term
+            failover = await self._find_log_end(failover, statuses)
             may_promote = read_clock() >= catch_up_ends_at or has_caught_up(
                 statuses, failover.log_end, failover.old_record.primary
             )
@@ -478,9 +488,7 @@
         :returns: the target's id and term; nothing when no target can be
             promoted or the promotion failed.
         """
-        successor = choose_successor(
-            statuses, failover.old_record.primary, failed_targets
-        )
+        successor = self._choose_successor(failover, statuses, failed_targets)
         if successor is None:
             return None
         term = await self._promote_target(failover, successor)
@@ -489,6 +497,48 @@
             return None
         return successor.ident, term
 
+    def _choose_successor(
+        self,
+        failover: Failover,
+        statuses: list[ReplicationStatus],
+        failed_targets: set[str],
+    ) -> ReplicationStatus | None:
+        old_primary = failover.old_record.primary
+        if not self._state.find_sync_replicas(failover.group):
+            return choose_successor(statuses, old_primary, failed_targets)
+        durable_end = self._durable_ends.find(
+            failover.group, old_primary, failover.log_end, statuses
+        )
+        if durable_end is None:
+            return None
+        return choose_durable_successor(
+            statuses, old_primary, failed_targets, durable_end
+        )
+
+    async def _find_log_end(
+        self, failover: Failover, statuses: list[ReplicationStatus]
+    ) -> Failover:
+        """Look for the end of the old primary's log, if it must be known.
+
+        The old primary may have been busy or unreachable when it was demoted.
+        """
+        old = failover.old_record.primary
+        status = next((one for one in statuses if one.ident == old), None)
+        is_known = failover.log_end is not None
+        is_needed = self._state.find_sync_replicas(failover.group)
+        if status is None or is_known or not is_needed:
+            return failover
+        if not status.is_primary:
+            return failover._replace(log_end=status.received)
+        return failover._replace(
+            log_end=await self._demote_old_primary(failover)
+        )
+
+    def _list_log_addresses(self, group: str) -> tuple[str, ...]:
+        if not self._state.find_sync_replicas(group):
+            return ()
+        return tuple(sorted(self._state.find_replica_logs(group).addresses))
+
     async def _promote_target(
         self, failover: Failover, successor: ReplicationStatus
     ) -> int:
@@ -544,7 +594,13 @@
         key = f'{GROUPS_PREFIX}{failover.group}'
         era = failover.announced.era
         content = encode_record(
-            GroupRecord(primary, term, is_changing=False, era=era)
+            GroupRecord(
+                primary,
+                term,
+                is_changing=False,
+                era=era,
+                addresses=self._list_log_addresses(failover.group),
+            )
         )
         outcome = await self._retry(
             failover,
--- a/comfreystair/coordination/records.py
+++ b/comfreystair/coordination/records.py
@@ -89,12 +89,15 @@
     :param term: term of the primary.
     :param is_changing: a failover has been announced.
     :param era: of the store, in which the record was written.
+    :param addresses: where the group's log is kept, for groups whose commits
+        must be received by replicas.
     """
 
     primary: str
     term: int
     is_changing: bool
     era: int = 0
+    addresses: tuple[str, ...] = ()
 
 
 class StoreClient(Protocol):
@@ -171,6 +174,14 @@
     )
 
 
+def decode_log_addresses(item: StoredValue) -> tuple[str, ...]:
+    """Return where a group's log is kept; nothing when it is not known."""
+    try:
+        return msgspec.json.decode(item.blob, type=GroupRecord).addresses
+    except msgspec.DecodeError:
+        return ()
+
+
 def decode_instance(item: StoredValue) -> InstanceRecord | None:
     """Decode an instance's record; nothing when it can't be decoded."""
     try:
--- a/comfreystair/coordination/service_discovery.py
+++ b/comfreystair/coordination/service_discovery.py
@@ -239,7 +239,9 @@
         }
         if self._change_tracker.update(comparable):
             self._compressed.clear()
-        self._state.targets = self._targets.update(entries, now)
+        targets = self._targets.update(entries, now)
+        if targets != self._state.targets:
+            self._state.update_targets(targets, now)
         self._apply_instances_and_keepers(items, now)
         self._state.lists_read_at = read_at
 
--- a/comfreystair/coordination/state.py
+++ b/comfreystair/coordination/state.py
@@ -10,6 +10,7 @@
     PrimaryRecord,
     PrimaryTracker,
 )
+from comfreystair.controllers.replica_logs import ReplicaLogs, ReplicaRun
 from comfreystair.controllers.store_position import StorePosition
 from comfreystair.coordination.records import InstanceRecord
 from comfreystair.coordination.store_era import StoreEra
@@ -135,6 +136,7 @@
         self.keepers: dict[str, InstanceRecord] = {}
         self.is_draining = False
         self._groups: dict[str, GroupState] = {}
+        self._replica_logs: dict[str, ReplicaLogs] = {}
 
     @property
     def groups(self) -> dict[str, GroupState]:
@@ -154,6 +156,28 @@
         for group in self._groups.values():
             group.primary_tracker.fence(_LAST_POSITION)
 
+    def find_replica_logs(self, group: str) -> ReplicaLogs:
+        """Return where a group's log is kept, and was lost."""
+        return self._replica_logs.setdefault(group, ReplicaLogs())
+
+    def find_sync_replicas(self, group: str) -> int:
+        """Return how many replicas must receive a group's commits."""
+        return self.plan.sync_replicas.get(group, 0) if self.plan else 0
+
+    def update_targets(
+        self, targets: dict[str, TargetEntry], now: float
+    ) -> None:
+        """Replace the listed targets and note where logs were lost."""
+        self.targets = targets
+        listed: dict[str, dict[str, ReplicaRun]] = {}
+        for entry in sorted(targets.values(), key=_get_start):
+            runs = listed.setdefault(entry.group, {})
+            runs[entry.address] = ReplicaRun(
+                entry.ident, entry.born, entry.is_leaving
+            )
+        for name in listed.keys() | self._replica_logs.keys():
+            self.find_replica_logs(name).update(listed.get(name, {}), now)
+
     def list_targets(self, group: str) -> list[TargetEntry]:
         """Return a group's targets."""
         return [one for one in self.targets.values() if one.group == group]
@@ -161,3 +185,7 @@
     def find_plan_age(self, now: float) -> float:
         """Return the seconds since the plan was last proved the newest."""
         return now - self.plan_proved_at
+
+
+def _get_start(entry: TargetEntry) -> int:
+    return entry.born
--- a/comfreystair/coordination/target_prober.py
+++ b/comfreystair/coordination/target_prober.py
@@ -164,4 +164,5 @@
         report.term,
         get_log_end(report.received),
         entry.is_leaving,
+        entry.address,
     )
--- a/comfreystair/entry.py
+++ b/comfreystair/entry.py
@@ -20,6 +20,7 @@
 )
 from comfreystair.controllers.membership import build_incarnation
 from comfreystair.coordination.contacts import ContactExchange
+from comfreystair.coordination.durable_logs import LostLogSettler
 from comfreystair.coordination.failover import FailoverCoordinator
 from comfreystair.coordination.failover_notices import FailoverNotices
 from comfreystair.coordination.heartbeat import Heartbeat
@@ -190,6 +191,7 @@
             self._pulse.refresh_now,
             self._log,
         )
+        self._lost_logs = LostLogSettler(self._state, store, probes, self._log)
         self._board = PoolManager(instance.zone, self._open)
         self._book = GatewaySelector(self._state, self._peers)
         self._local = LocalExecutor(self._board, self._log)
@@ -215,6 +217,7 @@
         await _spawn(self._directory.run, self._update_board)
         await _spawn(self._duty.run)
         await _spawn(self._leaders.run)
+        await _spawn(self._lost_logs.run)
         await _spawn(self._desk.rollback_idle)
         await _spawn(self._accept, _listen(listen.callers))
         number = signal.SIGHUP
--- a/comfreystair/manifest/serving.py
+++ b/comfreystair/manifest/serving.py
@@ -53,6 +53,8 @@
 
     :param version: given by the operators; a later version has a higher one.
     :param connections: limit of each target, by group.
+    :param sync_replicas: how many replicas must have received a commit before
+        it is acknowledged, by group; groups without any may be missing.
     :param idle_seconds: how long a transaction may rest.
     """
 
@@ -62,6 +64,7 @@
     connections: dict[str, int]
     idle_seconds: float
     owners: dict[str, str]
+    sync_replicas: dict[str, int]
 
 
 # What targets are told of callers without a key. An organisation may have the
@@ -75,6 +78,7 @@
     clients: Iterable[Client],
     connections: dict[str, int],
     idle_seconds: float,
+    sync_replicas: dict[str, int] | None = None,
 ) -> ServingPlan:
     """Index routes by database and keys by their organisation."""
     listed = tuple(clients)
@@ -85,4 +89,5 @@
         connections,
         idle_seconds,
         {key: client.name for client in listed for key in client.keys},
+        sync_replicas or {},
     )
--- a/comfreystair/platform/documents.py
+++ b/comfreystair/platform/documents.py
@@ -44,6 +44,7 @@
 class _Service(msgspec.Struct, rename='pascal'):
     name: str
     max_conns: int = 30
+    sync_replicas: int = 0
 
 
 class _Tenant(msgspec.Struct, rename='pascal'):
@@ -96,6 +97,7 @@
         ),
         {service.name: service.max_conns for service in plan.services},
         plan.limits.tx_idle_ms / _MILLISECONDS,
+        {service.name: service.sync_replicas for service in plan.services},
     )
 
 
--- a/standins/platform/__main__.py
+++ b/standins/platform/__main__.py
@@ -67,7 +67,7 @@
             'Zone': 'lima-a',
             'Version': 'v1',
             'Slots': 4,
-            'State': 'ready',
+            'State': 'draining' if copy.is_draining else 'ready',
             'ColdLeftMs': 0,
             'Seq': 1,
             'DbRole': 'primary' if copy.is_primary else 'replica',
@@ -132,6 +132,10 @@
     def _command(self, read: dict) -> dict:
         """Do what a test asks for."""
         if 'plan' in read:
+            for service in read['plan']['Services']:
+                self._groups[service['Name']].sync_replicas = service[
+                    'SyncReplicas'
+                ]
             self._plan = _encode(read['plan'])
             self._keyspace.put('op/config', self._plan)
         if 'save' in read:
@@ -143,6 +147,12 @@
         self._change_targets(read)
         return {
             'revision': self._keyspace.revision,
+            'primaries': [
+                ident
+                for group in self._groups.values()
+                for ident, copy in group.copies.items()
+                if copy.is_primary and copy.is_up
+            ],
             'promotions': self._promotions,
             'runs': {
                 ident: copy.runs
@@ -152,12 +162,17 @@
         }
 
     def _change_targets(self, read: dict) -> None:
-        """Kill or revive a target."""
+        """Kill or revive a target, or change how it behaves."""
         if 'kill' in read:
             for group in self._groups.values():
                 if read['kill'] in group.copies:
                     group.copies[read['kill']].is_up = False
                     self._keyspace.remove(f'servers/{read["kill"]}')
+        for word in ('deaf', 'busy', 'draining'):
+            for group in self._groups.values():
+                if read.get(word) in group.copies:
+                    copy = group.copies[read[word]]
+                    setattr(copy, f'is_{word}', not read.get('is_over'))
         if 'revive' in read:
             for group in self._groups.values():
                 if read['revive'] in group.copies:
--- a/standins/platform/deployment.py
+++ b/standins/platform/deployment.py
@@ -224,7 +224,12 @@
             time.sleep(0.05)
 
 
-def build_plan(keys: list[str], rate: float = 5000, version: int = 1) -> dict:
+def build_plan(
+    keys: list[str],
+    rate: float = 5000,
+    version: int = 1,
+    sync_replicas: int = 0,
+) -> dict:
     """Return the operators' document with a route of each kind."""
     return {
         'Version': version,
@@ -233,7 +238,9 @@
             _build_route('loose', 'bounded_stale', 1500),
             _build_route('own', 'read_your_writes', 2500),
         ],
-        'Services': [{'Name': GROUP, 'MaxConns': 34, 'SyncReplicas': 0}],
+        'Services': [
+            {'Name': GROUP, 'MaxConns': 34, 'SyncReplicas': sync_replicas}
+        ],
         'Limits': {'TxIdleMs': 3000},
         'Tenants': [
             {
--- a/standins/platform/group.py
+++ b/standins/platform/group.py
@@ -13,6 +13,9 @@
         self.term = 1
         self.is_primary = False
         self.is_up = True
+        self.is_deaf = False
+        self.is_busy = False
+        self.is_draining = False
         self.runs: list[tuple[str, str, str]] = []
 
     def read(self, item: str, lag: float) -> str:
@@ -40,15 +43,24 @@
         """
         self.name = name
         self.lag = lag
+        self.sync_replicas = 0
         self.copies = {ident: Copy(ident) for ident in idents}
         self.copies[idents[0]].is_primary = True
 
-    def commit(self, copy: Copy, writes: dict[str, str]) -> None:
-        """Add an entry to the primary's log and to reachable replicas'."""
+    def commit(self, copy: Copy, writes: dict[str, str]) -> bool:
+        """Add an entry to the primary's log and to reachable replicas'.
+
+        :returns: whether as many replicas have received it as must have.
+        """
         copy.log.append((time.monotonic(), writes))
-        for other in self.copies.values():
-            if other.is_up and not other.is_primary:
-                other.log = list(copy.log)
+        receivers = [
+            other
+            for other in self.copies.values()
+            if other.is_up and not (other.is_primary or other.is_deaf)
+        ]
+        for other in receivers:
+            other.log = list(copy.log)
+        return len(receivers) >= self.sync_replicas
 
     def promote(self, ident: str) -> bool:
         """Let a copy lead the next term with what it holds."""
@@ -63,6 +75,7 @@
                 other.is_primary = False
                 other.term = term
         copy.is_primary = True
+        copy.is_deaf = False
         return True
 
     def revive(self, ident: str) -> None:
--- a/standins/platform/wire.py
+++ b/standins/platform/wire.py
@@ -19,7 +19,10 @@
         self._values: dict[str, str] = {}
 
     def answer(self, ident: str, text: str) -> str:
-        """Run one statement and return the whole answer."""
+        """Run one statement and return the whole answer.
+
+        Empty when a commit is never acknowledged.
+        """
         if text.startswith('AFTER '):
             _, floor, text = text.split(' ', 2)
             if not self._holds(floor):
@@ -42,7 +45,8 @@
         item, _, data = rest.partition(' ')
         self._note(ident, f'WRITE {rest}')
         if self._writes is None:
-            self._group.commit(self._copy, {item: data})
+            if not self._group.commit(self._copy, {item: data}):
+                return ''
         else:
             self._writes[item] = data
         return self._done(ident)
@@ -68,8 +72,8 @@
         self._is_read_only = False
         if writes and not self._copy.is_primary:
             return self._fail('READONLY')
-        if writes:
-            self._group.commit(self._copy, writes)
+        if writes and not self._group.commit(self._copy, writes):
+            return ''
         self._note(ident, 'COMMIT')
         return self._done(ident)
 
@@ -100,6 +104,8 @@
 
     def _do_status(self, _ident: str, _rest: str) -> str:
         copy = self._copy
+        if copy.is_busy:
+            return self._fail('BUSY')
         role = 'primary' if copy.is_primary else 'replica'
         row = f'{role} {copy.term} {copy.term}.{len(copy.log)} 0 0 0 0'
         return self._done('-', row)
--- a/tests/specs/test_specs.py
+++ b/tests/specs/test_specs.py
@@ -6,7 +6,15 @@
 from minicheck import Protocol, check_safety
 
 from comfreystair.controllers.primary_tracking import PrimaryTracker
-from specs import contacts, failover, manifest, reads, shares
+from comfreystair.controllers.replica_logs import find_durable_end
+from specs import (
+    contacts,
+    failover,
+    manifest,
+    reads,
+    shares,
+    sync_replicas,
+)
 
 MAX_STATES = 1000000
 MUTANT_STATES = 200000
@@ -82,6 +90,30 @@
             contacts.build(confirm=confirm_always), 'uses_one_primary'
         )
 
+    def test_sync_replicas_hold(self) -> None:
+        """Acknowledged commits survive any two replicas in trouble."""
+        self.assert_holds(sync_replicas.build())
+
+    def test_sync_replicas_need_all_logs(self) -> None:
+        """The most advanced log that is heard may lack commits."""
+
+        def ignore_unheard(received, _unheard, log_end, sync_replicas):
+            return find_durable_end(received, 0, log_end, sync_replicas)
+
+        self.assert_refuted(
+            sync_replicas.build(find_end=ignore_unheard), 'keeps_acknowledged'
+        )
+
+    def test_sync_replicas_keep_losses_until_settled(self) -> None:
+        """A log that was lost counts until others hold its commits."""
+
+        def hold_always(_received, _position, _sync_replicas) -> bool:
+            return True
+
+        self.assert_refuted(
+            sync_replicas.build(hold=hold_always), 'keeps_acknowledged'
+        )
+
     def test_reads_hold(self) -> None:
         """A session reads what was acknowledged before it connected."""
         self.assert_holds(reads.build())
