Decode entries of other writers in one place, or leave them out

One entry of deeply nested JSON among those of the targets ended service discovery in every process: a leaving primary was used to its end and was never replaced, also not after a restart.

Cause: `_parse_target` named two errors of the decoder, which raises others as well (RecursionError), and `ServiceDiscovery` caught only the project's own. Ruled out: the size of the entry, and the peers that hand lists on; the reader itself fails.

`decode_items` now turns each item into a usable value or leaves it out, and logs it once; every field of a target is checked. What is left out is not sent to other instances. Records of instances, keepers and groups, the plan, manifests, chunks, lists of instances and positions of targets are decoded by the same rule, and an address that can't be dialled is an OSError. Tasks of an instance start again after an unexpected error.

--- a/comfreystair/coordination/records.py
+++ b/comfreystair/coordination/records.py
@@ -1,11 +1,16 @@
 """Records that instances keep in the store, and the store's interface."""
 
-from typing import Final, NamedTuple, Protocol
+from typing import Final, NamedTuple, Protocol, TypeVar
 
 import msgspec
+from loguru import logger
 
 from comfreystair.controllers.primary_tracking import PrimaryRecord
 from comfreystair.controllers.store_position import ABSENT, StorePosition
+from comfreystair.dialing import split_address
+from comfreystair.tasks import describe_error
+
+_Record = TypeVar('_Record')
 
 _PREFIX: Final = 'comfreystair/'
 INSTANCES_PREFIX: Final = f'{_PREFIX}instances/'
@@ -161,9 +166,8 @@
         return PrimaryRecord()
     if not item.position.is_set:
         return PrimaryRecord(position=item.position)
-    try:
-        record = msgspec.json.decode(item.blob, type=GroupRecord)
-    except msgspec.DecodeError:
+    record = _try_decode(item, GroupRecord)
+    if record is None:
         return PrimaryRecord(is_changing=True, position=item.position)
     return PrimaryRecord(
         record.primary,
@@ -176,15 +180,46 @@
 
 def decode_log_addresses(item: StoredValue) -> tuple[str, ...]:
     """Return where a group's log is kept; nothing when it is not known."""
-    try:
-        return msgspec.json.decode(item.blob, type=GroupRecord).addresses
-    except msgspec.DecodeError:
-        return ()
+    record = _try_decode(item, GroupRecord)
+    return record.addresses if record else ()
 
 
 def decode_instance(item: StoredValue) -> InstanceRecord | None:
-    """Decode an instance's record; nothing when it can't be decoded."""
+    """Decode an instance's record.
+
+    :returns: nothing, with a line in the log, when it can't be used.
+    """
     try:
-        return msgspec.json.decode(item.blob, type=InstanceRecord)
-    except msgspec.DecodeError:
+        return parse_instance(item)
+    except Exception as error:
+        _log_left_out(InstanceRecord, error)
         return None
+
+
+def parse_instance(item: StoredValue) -> InstanceRecord:
+    """Decode an instance's record.
+
+    The decoder has errors of its own for some bytes, such as nested lists or
+    long numbers, so any error means that the record can't be used.
+
+    :raises Exception: when it can't be used.
+    """
+    record = msgspec.json.decode(item.blob, type=InstanceRecord)
+    split_address(record.address)
+    return record
+
+
+def _try_decode(item: StoredValue, kind: type[_Record]) -> _Record | None:
+    try:
+        return msgspec.json.decode(item.blob, type=kind)
+    except Exception as error:
+        _log_left_out(kind, error)
+        return None
+
+
+def _log_left_out(kind: type, error: Exception) -> None:
+    logger.error(
+        'event=record_left_out kind={} reason="{}"',
+        kind.__name__,
+        describe_error(error),
+    )
--- a/comfreystair/coordination/service_discovery.py
+++ b/comfreystair/coordination/service_discovery.py
@@ -6,7 +6,7 @@
 """
 
 import zlib
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Hashable
 from typing import Final
 
 import curio
@@ -14,6 +14,7 @@
 from comfreystair.clocks import read_clock
 from comfreystair.controllers.change_tracking import ChangeTracker
 from comfreystair.controllers.store_position import StorePosition
+from comfreystair.coordination.decoding import LeftOutLog, decode_items
 from comfreystair.coordination.jitter import add_jitter
 from comfreystair.coordination.proofs import ProofExchange
 from comfreystair.coordination.records import (
@@ -23,7 +24,7 @@
     InstanceRecord,
     StoreClient,
     StoredValue,
-    decode_instance,
+    parse_instance,
 )
 from comfreystair.coordination.state import FleetState
 from comfreystair.coordination.target_list import TargetList
@@ -32,6 +33,7 @@
 from comfreystair.peers import PeerClients, PeerError, messages
 from comfreystair.peers.messages import definitions
 from comfreystair.pooling.targets import TargetEntry
+from comfreystair.tasks import contain_errors, describe_error
 
 # Interval between reads of the lists. A target must no longer be used 7 s after
 # it has begun to leave.
@@ -55,7 +57,7 @@
 # Timeout of a request to another instance.
 _REQUEST_TIMEOUT_SECONDS: Final = 0.5
 
-ParseTargets = Callable[[dict[str, StoredValue]], dict[str, TargetEntry]]
+ParseTarget = Callable[[str, StoredValue], TargetEntry]
 OnRead = Callable[[], Awaitable[None]]
 
 
@@ -71,7 +73,7 @@
         state: FleetState,
         store: StoreClient,
         targets_prefix: str,
-        parse_targets: ParseTargets,
+        parse_target: ParseTarget,
         exchange: ProofExchange,
         peers: PeerClients,
         log: DecisionLog,
@@ -81,7 +83,8 @@
         :param state: receives the lists.
         :param store: client of the store.
         :param targets_prefix: prefix of the targets' keys in the store.
-        :param parse_targets: parses the targets' entries, by key.
+        :param parse_target: parses a target's entry, given its key; raises
+            any error when it is not usable.
         :param exchange: knows which instance is the zone's reader.
         :param peers: clients of the other instances.
         :param log: receives an event for each change of the lists.
@@ -89,7 +92,7 @@
         self._state = state
         self._store = store
         self._targets_prefix = targets_prefix
-        self._parse_targets = parse_targets
+        self._parse_target = parse_target
         self._exchange = exchange
         self._peers = peers
         self._log = log
@@ -99,6 +102,7 @@
         self._source_version = 0
         self._compressed: dict[int, bytes] = {}
         self._targets = TargetList(log)
+        self._left_out = LeftOutLog(log)
 
     async def run(self, on_read: OnRead) -> None:
         """Read the lists periodically until cancelled.
@@ -109,9 +113,10 @@
         while True:
             try:
                 await self._read()
-            except ComfreystairError as error:
-                self._log.write('lists_not_read', reason=error)
-            await on_read()
+            except Exception as error:
+                self._log.write('lists_not_read', reason=describe_error(error))
+            with contain_errors('apply_lists'):
+                await on_read()
             is_starting = read_clock() < fast_until
             delay = (
                 _FAST_READ_INTERVAL_SECONDS
@@ -224,32 +229,30 @@
         :param read_at: when the read of the store was sent.
         """
         now = read_clock()
-        targets = {
-            key: item
-            for key, item in items.items()
-            if key.startswith(self._targets_prefix)
-        }
-        entries = self._parse_targets(targets)
-        self._items = items
-        comparable = {
-            key: entries.get(key.removeprefix(self._targets_prefix))
-            if key in targets
-            else item.blob
-            for key, item in items.items()
-        }
-        if self._change_tracker.update(comparable):
+        decoded = decode_items(items, self._decode)
+        self._left_out.update(items, decoded.left_out)
+        # What can't be used is not sent to other instances either.
+        self._items = {key: items[key] for key in decoded.values}
+        if self._change_tracker.update(decoded.values):
             self._compressed.clear()
+        entries = _select(decoded.values, self._targets_prefix)
         targets = self._targets.update(entries, now)
         if targets != self._state.targets:
             self._state.update_targets(targets, now)
-        self._apply_instances_and_keepers(items, now)
+        self._apply_instances_and_keepers(decoded.values, now)
         self._state.lists_read_at = read_at
 
+    def _decode(self, key: str, item: StoredValue) -> Hashable:
+        """Decode a listed item, by the prefix of its key."""
+        if key.startswith(self._targets_prefix):
+            return self._parse_target(key, item)
+        return parse_instance(item)
+
     def _apply_instances_and_keepers(
-        self, items: dict[str, StoredValue], now: float
+        self, records: dict[str, object], now: float
     ) -> None:
         state = self._state
-        instances = _decode_instances(items, INSTANCES_PREFIX)
+        instances = _select(records, INSTANCES_PREFIX)
         if now - state.store_era.restored_at < _REGISTER_AGAIN_SECONDS:
             instances = {**state.instances, **instances}
         instances[state.own.name] = state.own
@@ -262,7 +265,7 @@
         for name, (_record, seen_at) in list(state.recently_listed.items()):
             if now - seen_at > _RECENTLY_LISTED_SECONDS:
                 state.recently_listed.pop(name)
-        state.keepers = _decode_instances(items, KEEPERS_PREFIX)
+        state.keepers = _select(records, KEEPERS_PREFIX)
 
 
 def _merge(
@@ -290,17 +293,10 @@
     return messages.decode(definitions.ListedItems, content).items or []
 
 
-def _decode_instances(
-    items: dict[str, StoredValue], prefix: str
-) -> dict[str, InstanceRecord]:
-    """Return the instances under a prefix of keys, by the rest of the key.
-
-    Records that can't be decoded are left out.
-    """
-    found: dict[str, InstanceRecord] = {}
-    for key, item in items.items():
-        if key.startswith(prefix):
-            record = decode_instance(item)
-            if record is not None:
-                found[key.removeprefix(prefix)] = record
-    return found
+def _select(decoded: dict[str, object], prefix: str) -> dict:
+    """Return the values under a prefix of keys, by the rest of the key."""
+    return {
+        key.removeprefix(prefix): value
+        for key, value in decoded.items()
+        if key.startswith(prefix)
+    }
--- a/comfreystair/dialing.py
+++ b/comfreystair/dialing.py
@@ -2,9 +2,12 @@
 
 import select
 from collections.abc import Awaitable, Callable
+from typing import Final
 
 from curio import socket
 
+_MAX_PORT: Final = 65535
+
 Dial = Callable[[str], Awaitable[socket.socket]]
 
 
@@ -15,13 +18,13 @@
     """
 
     async def dial(address: str) -> socket.socket:
-        host, _, port = address.rpartition(':')
+        host, port = split_address(address)
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         try:
             if source:
                 sock.bind((source, 0))
-            await sock.connect((host, int(port)))
+            await sock.connect((host, port))
         except BaseException:
             await sock.close()
             raise
@@ -30,6 +33,19 @@
     return dial
 
 
+def split_address(address: str) -> tuple[str, int]:
+    """Return the host and the port of an address.
+
+    :raises OSError: when it can't be connected to.
+    """
+    host, _, port = address.rpartition(':')
+    is_number = port.isascii() and port.isdecimal()
+    is_port = is_number and len(port) <= len(str(_MAX_PORT))
+    if not host.isascii() or not is_port or int(port) > _MAX_PORT:
+        raise OSError(f'not an address: {address!r:.60}')
+    return host, int(port)
+
+
 def has_input(sock: socket.socket) -> bool:
     """Tell whether input, or the end of the connection, waits to be read."""
     poller = select.poll()
--- a/comfreystair/entry.py
+++ b/comfreystair/entry.py
@@ -48,7 +48,7 @@
     PLAN_KEY,
     TARGETS_PREFIX,
     parse_plan,
-    parse_targets,
+    parse_target,
 )
 from comfreystair.platform.http import HttpClient
 from comfreystair.platform.promotion import Promoter
@@ -63,6 +63,7 @@
 from comfreystair.sessions.target_selector import TargetSelector
 from comfreystair.sessions.transactions import TransactionManager
 from comfreystair.signals import wait_for_signal
+from comfreystair.tasks import run_supervised
 
 SETTINGS_VARIABLE: Final = 'COMFREYSTAIR_SETTINGS'
 EXIT_USAGE: Final = 2
@@ -106,6 +107,7 @@
         self._settings = settings
         instance = settings.instance
         self._log = DecisionLog(instance.name, sys.stdout.fileno())
+        logger.add(self._log.write_message, level='INFO', format='{message}')
         own = InstanceRecord(
             instance.name,
             instance.zone,
@@ -149,7 +151,7 @@
             self._state,
             store,
             TARGETS_PREFIX,
-            parse_targets,
+            parse_target,
             self._exchange,
             self._peers,
             self._log,
@@ -205,20 +207,20 @@
         host = settings.instance.address
         self._log.write('start', zone=settings.instance.zone)
         peer_server = PeerServer(self._build_methods(), '')
-        await _spawn(self._log.run)
+        await _spawn(run_supervised, self._log.run)
         await _spawn(peer_server.run, _listen(f'{host}:{listen.peer_port}'))
         ready = _listen(listen.ready)
         await _spawn(serve_pages, ready, self._show_ready)
         metrics = _listen(f'{host}:{listen.metrics_port}')
         await _spawn(serve_pages, metrics, self._show_metrics)
-        await _spawn(self._pulse.run)
+        await _spawn(run_supervised, self._pulse.run)
         if self._state.own.needs_contact:
-            await _spawn(self._contacts.run)
-        await _spawn(self._directory.run, self._update_board)
-        await _spawn(self._duty.run)
-        await _spawn(self._leaders.run)
-        await _spawn(self._lost_logs.run)
-        await _spawn(self._desk.rollback_idle)
+            await _spawn(run_supervised, self._contacts.run)
+        await _spawn(run_supervised, self._directory.run, self._update_board)
+        await _spawn(run_supervised, self._duty.run)
+        await _spawn(run_supervised, self._leaders.run)
+        await _spawn(run_supervised, self._lost_logs.run)
+        await _spawn(run_supervised, self._desk.rollback_idle)
         await _spawn(self._accept, _listen(listen.callers))
         number = signal.SIGHUP
         while number == signal.SIGHUP:
--- a/comfreystair/manifest/chunks.py
+++ b/comfreystair/manifest/chunks.py
@@ -14,6 +14,7 @@
 import xxhash
 
 from comfreystair.manifest.exceptions import ChunkError
+from comfreystair.tasks import describe_error
 
 _SECTIONS: Final = ('databases', 'organisations', 'services')
 _BUCKET_BYTES: Final = 16384
@@ -145,8 +146,8 @@
 def _unpack(piece: bytes) -> dict:
     try:
         return msgspec.json.decode(zlib.decompress(piece))
-    except (zlib.error, msgspec.DecodeError) as error:
-        raise ChunkError(str(error), 'join') from error
+    except Exception as error:
+        raise ChunkError(describe_error(error), 'join') from error
 
 
 def hash_chunk(piece: bytes) -> str:
@@ -166,5 +167,5 @@
     """
     try:
         return msgspec.json.decode(content, type=Root)
-    except msgspec.DecodeError as error:
-        raise ChunkError(str(error), 'root') from error
+    except Exception as error:
+        raise ChunkError(describe_error(error), 'root') from error
--- a/comfreystair/manifest/codec.py
+++ b/comfreystair/manifest/codec.py
@@ -4,6 +4,7 @@
 
 from comfreystair.manifest.exceptions import ManifestError
 from comfreystair.manifest.schema import Manifest
+from comfreystair.tasks import describe_error
 
 
 def decode_manifest(content: bytes) -> Manifest:
@@ -13,8 +14,8 @@
     """
     try:
         return msgspec.json.decode(content, type=Manifest)
-    except msgspec.DecodeError as error:
-        raise ManifestError(str(error), step='manifest') from error
+    except Exception as error:
+        raise ManifestError(describe_error(error), step='manifest') from error
 
 
 def encode_manifest(manifest: Manifest) -> bytes:
--- a/comfreystair/observability/decisions.py
+++ b/comfreystair/observability/decisions.py
@@ -54,6 +54,10 @@
             return
         self._append(now, event, fields)
 
+    def write_message(self, message: str) -> None:
+        """Add a line with what a part without this log has to say."""
+        self.write('message', text=message.rstrip('\n'))
+
     async def run(self) -> None:
         """Write the buffer out until cancelled."""
         while True:
--- a/comfreystair/platform/documents.py
+++ b/comfreystair/platform/documents.py
@@ -1,10 +1,13 @@
 """What operators and targets write to the store, decoded."""
 
+import ipaddress
+import sys
 from typing import Final
 
 import msgspec
 
 from comfreystair.coordination.records import StoredValue
+from comfreystair.dialing import split_address
 from comfreystair.manifest.serving import (
     Client,
     Consistency,
@@ -14,6 +17,7 @@
 )
 from comfreystair.platform.exceptions import MalformedError
 from comfreystair.pooling.targets import TargetEntry
+from comfreystair.tasks import describe_error
 
 PLAN_KEY: Final = 'op/config'
 TARGETS_PREFIX: Final = 'servers/'
@@ -26,6 +30,12 @@
 }
 _STATES: Final = frozenset(('ready', 'draining'))
 _ROLES: Final = frozenset(('primary', 'replica'))
+# Most statements that a target may claim to run at the same time.
+_MAX_SLOTS: Final = 10000
+# Messages between instances have numbers of 64 bits.
+_MAX_NUMBER: Final = sys.maxsize
+# Keys of the store have at most 200 bytes.
+_MAX_NAME_CHARACTERS: Final = 200
 
 
 class _Route(msgspec.Struct, rename='pascal'):
@@ -86,8 +96,8 @@
     """
     try:
         plan = msgspec.json.decode(item.blob, type=_Plan)
-    except msgspec.DecodeError as error:
-        raise MalformedError(str(error), 'plan') from error
+    except Exception as error:
+        raise MalformedError(describe_error(error), 'plan') from error
     return build_plan(
         plan.version,
         (_convert_route(route) for route in plan.routes),
@@ -101,26 +111,19 @@
     )
 
 
-def parse_targets(items: dict[str, StoredValue]) -> dict[str, TargetEntry]:
-    """Return the targets by id, without entries that are none."""
-    found: dict[str, TargetEntry] = {}
-    for key, item in items.items():
-        ident = key.removeprefix(TARGETS_PREFIX)
-        entry = _parse_target(ident, item.blob)
-        if entry is not None:
-            found[ident] = entry
-    return found
+def parse_target(key: str, item: StoredValue) -> TargetEntry:
+    """Decode a target's entry, which may come from any writer.
 
-
-def _parse_target(ident: str, blob: bytes) -> TargetEntry | None:
+    :raises MalformedError: naming why it is no target that can be used.
+    """
     try:
-        read = msgspec.json.decode(blob, type=_Registration)
-    except (msgspec.DecodeError, UnicodeDecodeError):
-        return None
-    host, _, port = read.addr.rpartition(':')
-    is_known = read.state in _STATES and read.db_role in _ROLES
-    if not (is_known and host and port.isdecimal() and read.slots > 0):
-        return None
+        read = msgspec.json.decode(item.blob, type=_Registration)
+    except Exception as error:
+        # The decoder has errors of its own for some bytes, such as nested
+        # lists or long numbers.
+        raise MalformedError(describe_error(error), 'target') from error
+    ident = key.removeprefix(TARGETS_PREFIX)
+    _check_registration(ident, read)
     return TargetEntry(
         ident,
         read.service,
@@ -134,6 +137,43 @@
     )
 
 
+def _check_registration(ident: str, read: _Registration) -> None:
+    """Raise unless every field has a value that can be used."""
+    is_usable = {
+        'Id': _is_name(ident),
+        'Service': _is_name(read.service),
+        'Zone': _is_name(read.zone),
+        'Addr': _is_address(read.addr),
+        'State': read.state in _STATES,
+        'DbRole': read.db_role in _ROLES,
+        'Slots': 0 < read.slots <= _MAX_SLOTS,
+        'Seq': 0 <= read.seq <= _MAX_NUMBER,
+        'born': 0 <= read.born <= _MAX_NUMBER,
+    }
+    unusable = [field for field, is_good in is_usable.items() if not is_good]
+    if unusable:
+        raise MalformedError(f'unusable {", ".join(unusable)}', 'target')
+
+
+def _is_address(text: str) -> bool:
+    """Tell whether a text is an IPv4 number with a port."""
+    try:
+        host, port = split_address(text)
+        ipaddress.IPv4Address(host)
+    except (OSError, ValueError):
+        return False
+    return port > 0
+
+
+def _is_name(text: str) -> bool:
+    """Tell whether a text can be a field of a message and a part of a key."""
+    return (
+        0 < len(text) <= _MAX_NAME_CHARACTERS
+        and text.isprintable()
+        and not any(character.isspace() for character in text)
+    )
+
+
 def _convert_route(route: _Route) -> ServingRoute:
     return ServingRoute(
         route.host,
--- a/comfreystair/platform/lines.py
+++ b/comfreystair/platform/lines.py
@@ -23,6 +23,8 @@
 _READ_BYTES: Final = 65536
 _END: Final = b'\r\n'
 _SEPARATOR: Final = ' '
+# Longest position, of two numbers of 18 digits.
+_MAX_POSITION_CHARACTERS: Final = 37
 _NO_POSITION: Final = '-'
 OWN_IDENT: Final = '-'
 
@@ -174,7 +176,8 @@
     if text == _NO_POSITION:
         return None
     term, _, number = text.partition('.')
-    if not (term.isdecimal() and number.isdecimal()):
+    is_short = len(text) <= _MAX_POSITION_CHARACTERS
+    if not (is_short and term.isdecimal() and number.isdecimal()):
         raise MalformedError(f'no position: {text!r:.40}', 'read')
     return Position(int(term), int(number))
 
--- a/comfreystair/platform/store.py
+++ b/comfreystair/platform/store.py
@@ -20,6 +20,7 @@
     PlatformRefusedError,
 )
 from comfreystair.platform.http import HttpClient
+from comfreystair.tasks import describe_error
 
 _REASON_BYTES: Final = 200
 # Rises each time the store returns from an older copy.
@@ -207,5 +208,5 @@
 def _decode(body: bytes, kind):
     try:
         return msgspec.json.decode(body, type=kind)
-    except msgspec.DecodeError as error:
-        raise PlatformError(str(error), 'decode') from error
+    except Exception as error:
+        raise PlatformError(describe_error(error), 'decode') from error
--- a/tests/coordination/test_service_discovery.py
+++ b/tests/coordination/test_service_discovery.py
@@ -28,15 +28,18 @@
 }
 
 
-def parse_targets(items: dict[str, StoredValue]) -> dict[str, TargetEntry]:
-    """Return targets whose stored value is their address."""
-    found: dict[str, TargetEntry] = {}
-    for key, item in items.items():
-        ident = key.removeprefix(PREFIX)
-        found[ident] = TargetEntry(
-            ident, 'g', item.blob.decode(), 'lima-a', 2, 1, False, False
-        )
-    return found
+def parse_target(key: str, item: StoredValue) -> TargetEntry:
+    """Return a target whose stored value is its address."""
+    return TargetEntry(
+        key.removeprefix(PREFIX),
+        'g',
+        item.blob.decode(),
+        'lima-a',
+        2,
+        1,
+        False,
+        False,
+    )
 
 
 class Instance:
@@ -51,7 +54,7 @@
             self.state, plans, peers, lambda: store.read('plan'), log
         )
         self.discovery = ServiceDiscovery(
-            self.state, store, PREFIX, parse_targets, exchange, peers, log
+            self.state, store, PREFIX, parse_target, exchange, peers, log
         )
         peers.serve(
             RECORDS[name].address, 'lists', self.discovery.handle_request
--- /dev/null
+++ b/tests/platform/test_documents.py
@@ -0,0 +1,122 @@
+"""What other writers leave in the store, decoded."""
+
+import json
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from loguru import logger
+
+from comfreystair.controllers.store_position import StorePosition
+from comfreystair.coordination.decoding import decode_items
+from comfreystair.coordination.records import (
+    StoredValue,
+    decode_instance,
+    decode_log_addresses,
+    decode_primary_record,
+)
+from comfreystair.platform.documents import parse_plan, parse_target
+from comfreystair.platform.exceptions import MalformedError
+from comfreystair.pooling.targets import TargetEntry
+from tests.platform.odd_entries import USABLE, list_odd_blobs
+
+EXAMPLES = 3000
+POSITION = StorePosition(1, 5)
+ODD_VALUES = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats()
+    | st.text(max_size=8)
+    | st.sampled_from(['127.0.0.1:99999', 'ready', 'primary']),
+    lambda inner: st.lists(inner, max_size=3),
+    max_leaves=4,
+)
+
+
+def store(blob: bytes) -> StoredValue:
+    """Return a blob as it was read."""
+    return StoredValue(blob, POSITION)
+
+
+class TargetTest(unittest.TestCase):
+    """Entries among those of the targets."""
+
+    def decode(self, blob: bytes) -> tuple[dict, dict]:
+        """Decode an entry beside one that can be used."""
+        usable = json.dumps(USABLE).encode()
+        items = {'servers/odd': store(blob), 'servers/good': store(usable)}
+        return decode_items(items, parse_target)
+
+    def test_usable_entry(self) -> None:
+        """All its fields are read."""
+        values, left_out = self.decode(json.dumps(USABLE).encode())
+        self.assertEqual(len(values), 2)
+        self.assertFalse(left_out)
+        entry = values['servers/good']
+        self.assertEqual(
+            entry,
+            TargetEntry(
+                'good', 'permits', '127.0.0.1:5000', 'lima-a', 4, 1, False,
+                False, 1,
+            ),
+        )  # fmt: skip
+
+    def test_odd_entries_are_left_out(self) -> None:
+        """Guards against one entry that hides all others."""
+        for blob in list_odd_blobs():
+            with self.subTest(blob=blob[:80]):
+                values, left_out = self.decode(blob)
+                self.assertEqual(list(values), ['servers/good'])
+                self.assertEqual(list(left_out), ['servers/odd'])
+
+    @settings(max_examples=EXAMPLES, derandomize=True, deadline=None)
+    @given(st.sampled_from(sorted(USABLE)), ODD_VALUES)
+    def test_any_field_is_usable_or_left_out(self, field, odd) -> None:
+        """What is decoded can be connected to and sent to others."""
+        blob = json.dumps({**USABLE, field: odd}).encode()
+        values, left_out = self.decode(blob)
+        self.assertEqual(len(values) + len(left_out), 2)
+        entry = values.get('servers/odd')
+        if entry is not None:
+            self.assertEqual(entry.address, USABLE['Addr'])
+            self.assertGreater(entry.slots, 0)
+            self.assertTrue(entry.group and entry.zone)
+
+    def test_odd_keys_are_left_out(self) -> None:
+        """Guards against an id that is read as several fields."""
+        usable = store(json.dumps(USABLE).encode())
+        for ident in ('', 'a b', 'a\r\nQUERY 1 READ b', 'x' * 201):
+            items = {f'servers/{ident}': usable}
+            self.assertFalse(decode_items(items, parse_target).values, ident)
+
+
+class RecordTest(unittest.TestCase):
+    """Records and the plan, which nobody else should write."""
+
+    def setUp(self) -> None:
+        """Keep what is left out from the output of the tests."""
+        logger.disable('comfreystair')
+        self.addCleanup(logger.enable, 'comfreystair')
+
+    def test_odd_blobs_give_no_record(self) -> None:
+        """Guards against an error that ends the task which reads them."""
+        for blob in list_odd_blobs():
+            with self.subTest(blob=blob[:80]):
+                record = decode_primary_record(store(blob))
+                self.assertTrue(record.is_changing)
+                self.assertIsNone(decode_instance(store(blob)))
+                self.assertEqual(decode_log_addresses(store(blob)), ())
+                with self.assertRaises(MalformedError):
+                    parse_plan(store(blob))
+
+    def test_instance_that_can_not_be_called(self) -> None:
+        """Guards against an address that fails every call to all."""
+        record = {'name': 'a', 'zone': 'z', 'incarnation': 'a-1'}
+        for address in ('a', 'a:99999', 'a:-1', 'a:' + '1' * 5000):
+            blob = json.dumps({**record, 'address': address}).encode()
+            self.assertIsNone(decode_instance(store(blob)), address[:20])
+
+
+if __name__ == '__main__':
+    unittest.main()
