Let no error with one item end the task that handles all

An entry with port 99999 stopped each change of primary of its group, and odd entries of other kinds ended the tasks that read them.

Cause: `run_concurrently` raised the error of one target to the failover that had asked for all of them, and loops over groups, pools and targets caught only the project's own errors.

An error with one target, instance, group, pool or call is logged as `item_failed` and the others go on. A probe or a failover that fails unexpectedly counts as failed, with a delay before the next one. A peer whose call fails in the handler is told so at once.

--- a/comfreystair/coordination/contacts.py
+++ b/comfreystair/coordination/contacts.py
@@ -24,6 +24,7 @@
 from comfreystair.coordination.state import FleetState
 from comfreystair.peers import PeerClients
 from comfreystair.peers.messages import definitions
+from comfreystair.tasks import contain_errors
 
 _CHECK_INTERVAL_SECONDS: Final = 0.1
 # Another zone is asked when a contact is this old. Proofs are usually younger,
@@ -57,7 +58,8 @@
     async def run(self) -> None:
         """Keep contacts young until cancelled."""
         while True:
-            await self.refresh()
+            with contain_errors('contacts'):
+                await self.refresh()
             await curio.sleep(add_jitter(_CHECK_INTERVAL_SECONDS))
 
     async def refresh(self) -> None:
--- a/comfreystair/coordination/durable_logs.py
+++ b/comfreystair/coordination/durable_logs.py
@@ -26,8 +26,8 @@
 from comfreystair.coordination.rendezvous import find_rank
 from comfreystair.coordination.state import FleetState
 from comfreystair.coordination.target_prober import TargetProber
-from comfreystair.exceptions import ComfreystairError
 from comfreystair.observability.decisions import DecisionLog
+from comfreystair.tasks import contain_errors
 
 # ``step`` of the error when no replica follows a primary that leaves.
 STEP_PREPARE: Final = 'prepare'
@@ -175,10 +175,8 @@
         while True:
             await curio.sleep(add_jitter(_SETTLE_INTERVAL_SECONDS))
             for group in list(self._state.groups):
-                try:
+                with contain_errors('settle_losses', group):
                     await self._settle(group)
-                except ComfreystairError as error:
-                    self._log.write('losses_kept', group=group, reason=error)
 
     async def _settle(self, group: str) -> None:
         logs = self._state.find_replica_logs(group)
--- a/comfreystair/coordination/heartbeat.py
+++ b/comfreystair/coordination/heartbeat.py
@@ -38,6 +38,7 @@
 from comfreystair.coordination.state import FleetState
 from comfreystair.exceptions import ComfreystairError
 from comfreystair.observability.decisions import DecisionLog
+from comfreystair.tasks import describe_error
 
 # Interval between refreshes: about a quarter of a proof's validity.
 _INTERVAL_SECONDS: Final = 0.7
@@ -153,8 +154,10 @@
         while True:
             try:
                 await self._refresh()
-            except ComfreystairError as error:
-                self._set_reached(is_reached=False, reason=str(error))
+            except Exception as error:
+                # Whatever a source answers, the next refresh asks again.
+                reason = describe_error(error)
+                self._set_reached(is_reached=False, reason=reason)
                 delay = min(2 * delay, _INTERVAL_SECONDS)
             else:
                 self._set_reached(is_reached=True, reason='')
--- a/comfreystair/coordination/keeper_election.py
+++ b/comfreystair/coordination/keeper_election.py
@@ -29,10 +29,10 @@
 )
 from comfreystair.coordination.rendezvous import find_rank
 from comfreystair.coordination.state import FleetState
-from comfreystair.exceptions import ComfreystairError
 from comfreystair.observability.decisions import DecisionLog
 from comfreystair.peers import PeerClients, PeerError
 from comfreystair.peers.messages import definitions
+from comfreystair.tasks import describe_error
 
 # TTL of the keeper lease in the store.
 _LEASE_TTL_SECONDS: Final = 6.0
@@ -102,8 +102,10 @@
         while True:
             try:
                 await self._renew_or_acquire()
-            except ComfreystairError as error:
-                self._log.write('keeper_step_failed', reason=error)
+            except Exception as error:
+                self._log.write(
+                    'keeper_step_failed', reason=describe_error(error)
+                )
             await curio.sleep(add_jitter(_CHECK_INTERVAL_SECONDS))
 
     async def resign(self) -> None:
--- a/comfreystair/coordination/primary_monitor.py
+++ b/comfreystair/coordination/primary_monitor.py
@@ -23,8 +23,8 @@
 from comfreystair.coordination.rendezvous import find_rank
 from comfreystair.coordination.state import FleetState, GroupState
 from comfreystair.coordination.target_prober import TargetProber
-from comfreystair.exceptions import ComfreystairError
 from comfreystair.observability.decisions import DecisionLog
+from comfreystair.tasks import contain_errors, describe_error
 
 _CHECK_INTERVAL_SECONDS: Final = 0.2
 # Greatest age of the lists of targets and instances at which a failover may
@@ -100,16 +100,17 @@
             for name, group in list(self._state.groups.items()):
                 if name in self._groups_in_failover | self._groups_in_check:
                     continue
+                self._groups_in_check.add(name)
                 if group.unreachable_since is None:
-                    await self._check(name)
+                    await self._check_contained(name)
                 else:
-                    self._groups_in_check.add(name)
-                    await curio.spawn(self._check_slowly, name, daemon=True)
+                    await curio.spawn(self._check_contained, name, daemon=True)
             await curio.sleep(add_jitter(_CHECK_INTERVAL_SECONDS))
 
-    async def _check_slowly(self, name: str) -> None:
+    async def _check_contained(self, name: str) -> None:
         try:
-            await self._check(name)
+            with contain_errors('check_group', name):
+                await self._check(name)
         finally:
             self._groups_in_check.discard(name)
 
@@ -229,8 +230,9 @@
             await self._failover_coordinator.fail_over(
                 name, reason, reason == _LEAVING
             )
-        except ComfreystairError as error:
-            is_lease_held = error.step == STEP_ANNOUNCE
+        except Exception as error:
+            step = getattr(error, 'step', '')
+            is_lease_held = step == STEP_ANNOUNCE
             delay = (
                 _LEASE_HELD_DELAY_SECONDS
                 if is_lease_held
@@ -241,8 +243,8 @@
                 'change_stopped',
                 group=name,
                 why=reason,
-                step=error.step,
-                reason=error,
+                step=step,
+                reason=describe_error(error),
                 took=read_clock() - started_at,
             )
             await self._refresh_proofs()
--- a/comfreystair/coordination/target_prober.py
+++ b/comfreystair/coordination/target_prober.py
@@ -12,7 +12,6 @@
 )
 from comfreystair.coordination.concurrency import run_concurrently
 from comfreystair.coordination.state import FleetState
-from comfreystair.exceptions import ComfreystairError
 from comfreystair.observability.decisions import DecisionLog
 from comfreystair.pooling.exceptions import TargetRefusedError
 from comfreystair.pooling.targets import (
@@ -21,6 +20,7 @@
     TargetReport,
 )
 from comfreystair.sessions.statements import Failure
+from comfreystair.tasks import describe_error
 
 # Timeout of connecting to a target, and of one request to it.
 _REQUEST_TIMEOUT_SECONDS: Final = 0.3
@@ -147,8 +147,12 @@
             self._log.write('probe_failed', target=entry.ident, reason=error)
             is_other = error.failure is Failure.wrong_target
             return Probe(is_answered=not is_other, report=None)
-        except ComfreystairError as error:
-            self._log.write('probe_failed', target=entry.ident, reason=error)
+        except Exception as error:
+            self._log.write(
+                'probe_failed',
+                target=entry.ident,
+                reason=describe_error(error),
+            )
             return Probe(is_answered=False, report=None)
         finally:
             if connection is not None:
--- a/comfreystair/peers/server.py
+++ b/comfreystair/peers/server.py
@@ -13,6 +13,7 @@
 from comfreystair.peers.client import shut_down
 from comfreystair.peers.exceptions import PeerError
 from comfreystair.peers.messages import definitions
+from comfreystair.tasks import describe_error
 
 
 class Method(NamedTuple):
@@ -89,8 +90,14 @@
         try:
             request = messages.decode(method.request, call.body or b'')
             answer = await method.handle(request)
+            body = messages.encode(answer)
         except ComfreystairError as error:
             return definitions.Reply(number=call.number, error=str(error))
-        return definitions.Reply(
-            number=call.number, error='', body=messages.encode(answer)
-        )
+        except Exception as error:
+            # The caller is told at once instead of waiting for an answer.
+            reason = describe_error(error)
+            logger.error(
+                'event=item_failed step="{}" error="{}"', call.method, reason
+            )
+            return definitions.Reply(number=call.number, error=reason)
+        return definitions.Reply(number=call.number, error='', body=body)
--- a/comfreystair/pooling/manager.py
+++ b/comfreystair/pooling/manager.py
@@ -9,6 +9,7 @@
 )
 from comfreystair.pooling.pool import OpenConnection, TargetPool
 from comfreystair.pooling.targets import TargetEntry
+from comfreystair.tasks import contain_errors
 
 # Returns how many connections this instance may hold to a target.
 FindLimit = Callable[[TargetEntry], int]
@@ -49,18 +50,11 @@
             if not _is_same_run(pool.entry, wanted.get(ident)):
                 await self._pools.pop(ident).close()
                 self._health.pop(ident)
-        for ident, entry in wanted.items():
-            limit = find_limit(entry)
-            pool = self._pools.get(ident)
-            if pool is None:
-                self._pools[ident] = TargetPool(
-                    entry, limit, self._open_connection
-                )
-                self._health[ident] = TargetHealth()
-            else:
-                await pool.set_limit(limit)
+        for entry in wanted.values():
+            with contain_errors('update_pool', entry.ident):
+                await self._update_pool(entry, find_limit(entry))
                 if not has_use(entry):
-                    await pool.close_idle()
+                    await self._pools[entry.ident].close_idle()
 
     def record_request_start(self, ident: str) -> None:
         """Count a request of this instance's callers as running at a target."""
@@ -105,6 +99,17 @@
             )
         return found
 
+    async def _update_pool(self, entry: TargetEntry, limit: int) -> None:
+        """Create or resize the pool of a target."""
+        pool = self._pools.get(entry.ident)
+        if pool is None:
+            self._pools[entry.ident] = TargetPool(
+                entry, limit, self._open_connection
+            )
+            self._health[entry.ident] = TargetHealth()
+        else:
+            await pool.set_limit(limit)
+
 
 def _is_same_run(known: TargetEntry, listed: TargetEntry | None) -> bool:
     """Tell whether both entries are the same run of the same target."""
--- a/comfreystair/sessions/manager.py
+++ b/comfreystair/sessions/manager.py
@@ -32,6 +32,7 @@
     build_retry_answer,
 )
 from comfreystair.sessions.transactions import TransactionManager
+from comfreystair.tasks import contain_errors
 
 # One success in this many is logged.
 _SUCCESSES_PER_LOG_LINE: Final = 50
@@ -152,7 +153,8 @@
             plan = self._state.plan
             if plan is not None:
                 last_used_before = read_clock() - plan.idle_seconds
-                await self._rollback_idle_since(last_used_before)
+                with contain_errors('rollback_idle'):
+                    await self._rollback_idle_since(last_used_before)
 
     async def execute(self, session: Session, statement: Statement) -> Answer:
         """Run one statement, update its transaction and record the result.
--- a/standins/platform/__main__.py
+++ b/standins/platform/__main__.py
@@ -138,6 +138,8 @@
                 ]
             self._plan = _encode(read['plan'])
             self._keyspace.put('op/config', self._plan)
+        for key, value in read.get('put', {}).items():
+            self._keyspace.put(key, value)
         if 'save' in read:
             self._saved = self._keyspace.copy()
         if 'restore' in read:
--- a/tests/coordination/test_target_prober.py
+++ b/tests/coordination/test_target_prober.py
@@ -46,9 +46,11 @@
         self.tries = 0
         self.prober = TargetProber(state, self.open, FakeLog())
 
-    async def open(self, _entry: TargetEntry, _seconds: float):
+    async def open(self, entry: TargetEntry, _seconds: float):
         """Open a connection; it fails when no answer is left."""
         self.tries += 1
+        if entry.ident == 'odd':
+            raise OverflowError('port must be 0-65535')
         if not self.reports:
             raise ComfreystairError('no answer', 'connect')
         return FakeConnection(self.reports)
@@ -63,6 +65,16 @@
 
         return [status.ident for status in curio.run(query)]
 
+    def test_error_with_one_target_leaves_the_others(self) -> None:
+        """Guards against an address that stops each change of primary."""
+        self.reports = [REPORT]
+        state = self.prober._state
+        state.targets = {
+            'odd': TargetEntry('odd', GROUP, 't:9', 'z', 2, 1, False, False),
+            **state.targets,
+        }
+        self.assertEqual(self.query(0), ['t'])
+
     # Guards against: a target that is only busy counts as one that is down.
     def test_busy_target_is_queried_again(self) -> None:
         """It gives its status once it has a free slot."""
