Accept callers for good, within a share of the descriptors

One of two instances is killed, its sessions take all descriptors of the other one, and no instance takes callers any more, while /ready says 200.

Cause: `accept` raises EMFILE, and the loop had no handler, so its task crashed and closed the listening socket. The same loop stood in four places.

`accept_connections` serves all of them: a connection that can't be accepted is logged and the next one is tried after a delay. Callers have at most seven tenths of the descriptors that are not kept for files; those beyond are told that nothing has run and when to come back, and the instance is not ready meanwhile. The platform's limit comes with the settings.

--- a/comfreystair/callers/server.py
+++ b/comfreystair/callers/server.py
@@ -15,6 +15,7 @@
 from comfreystair.filters import request_errors
 from comfreystair.filters.exceptions import RequestError
 from comfreystair.filters.session import SessionState
+from comfreystair.listening import accept_connections
 from comfreystair.wire.answers import build_error
 
 _KEEPALIVE: Final = (
@@ -57,10 +58,7 @@
 
     async def run(self, sock: socket.socket) -> None:
         """Accept callers on a listening socket until cancelled."""
-        async with sock:
-            while True:
-                client, address = await sock.accept()
-                await curio.spawn(self._serve, client, address[0], daemon=True)
+        await accept_connections(sock, self._serve)
 
     async def expire_often(self) -> None:
         """End waits for callers that took too long, until cancelled."""
@@ -102,7 +100,8 @@
                 self._sessions.pop(session, None)
                 await task.cancel(blocking=False)
 
-    async def _serve(self, client: socket.socket, host: str) -> None:
+    async def _serve(self, client: socket.socket, address: tuple) -> None:
+        host = address[0]
         self._connections += 1
         try:
             async with client:
--- a/comfreystair/conf/entry.py
+++ b/comfreystair/conf/entry.py
@@ -8,6 +8,8 @@
 from comfreystair.controllers.primary_tracking import PROOF_TTL_SECONDS
 
 _MILLISECONDS = 1000
+# The platform keeps 200 for files.
+_MIN_DESCRIPTORS = 256
 
 
 class Section(msgspec.Struct, frozen=True):
@@ -55,6 +57,16 @@
     rate_window_ms: int = 5000
 
 
+class LimitsSection(Section, frozen=True):
+    """What the process may use.
+
+    :param descriptors: open files and connections; 0 for the limit that the
+        process was started with.
+    """
+
+    descriptors: int = 0
+
+
 class EntrySettings(Section, frozen=True):
     """The whole file.
 
@@ -67,6 +79,7 @@
     store: StoreSection
     promotion: PromotionSection
     bounds: BoundsSection = BoundsSection()
+    limits: LimitsSection = LimitsSection()
 
     @property
     def key_seconds(self) -> float:
@@ -94,7 +107,12 @@
     """Run every check and return all findings."""
     return [
         found
-        for check in (_check_zone, _check_keys, _check_shutdown)
+        for check in (
+            _check_zone,
+            _check_keys,
+            _check_shutdown,
+            _check_descriptors,
+        )
         for found in check(settings)
     ]
 
@@ -136,3 +154,17 @@
             'raise shutdown_ms',
         )
     ]
+
+
+def _check_descriptors(settings: EntrySettings) -> list[Finding]:
+    descriptors = settings.limits.descriptors
+    if descriptors == 0 or descriptors >= _MIN_DESCRIPTORS:
+        return []
+    return [
+        Finding(
+            'comfreystair.E104',
+            LEVEL_ERROR,
+            f'{descriptors} descriptors leave none for callers',
+            f'allow {_MIN_DESCRIPTORS} or more, or 0 for no limit of its own',
+        )
+    ]
--- a/comfreystair/entry.py
+++ b/comfreystair/entry.py
@@ -24,6 +24,7 @@
 from comfreystair.coordination.failover import FailoverCoordinator
 from comfreystair.coordination.failover_notices import FailoverNotices
 from comfreystair.coordination.heartbeat import Heartbeat
+from comfreystair.coordination.jitter import add_jitter
 from comfreystair.coordination.keeper_election import KeeperElection
 from comfreystair.coordination.plan_cache import PlanCache
 from comfreystair.coordination.primary_monitor import PrimaryMonitor
@@ -37,13 +38,14 @@
 from comfreystair.dialing import build_dialer
 from comfreystair.exceptions import ComfreystairError
 from comfreystair.gateways import GatewayClient, GatewaySelector, GatewayService
+from comfreystair.listening import accept_connections, find_most_callers
 from comfreystair.observability.counters import Counters
 from comfreystair.observability.decisions import DecisionLog
 from comfreystair.observability.pages import serve_pages
 from comfreystair.peers import PeerClients, PeerServer
 from comfreystair.peers.messages import definitions
 from comfreystair.peers.server import Method
-from comfreystair.platform.callers import serve_caller
+from comfreystair.platform.callers import serve_caller, turn_away
 from comfreystair.platform.documents import (
     PLAN_KEY,
     TARGETS_PREFIX,
@@ -95,6 +97,8 @@
 _LEFT_SECONDS: Final = 1.0
 # The organisation that questions about a target's status are asked for.
 _PROBE_NAME: Final = 'comfreystair'
+# After how long a caller that was turned away should come back, in seconds.
+_FULL_RETRY_SECONDS: Final = 1.0
 _OK: Final = 200
 _NOT_READY: Final = 503
 
@@ -198,6 +202,8 @@
         self._book = GatewaySelector(self._state, self._peers)
         self._local = LocalExecutor(self._board, self._log)
         self._counters = Counters()
+        self._callers = 0
+        self._most_callers = find_most_callers(settings.limits.descriptors)
         self._desk = self._build_desk()
 
     async def run(self) -> None:
@@ -221,7 +227,8 @@
         await _spawn(run_supervised, self._leaders.run)
         await _spawn(run_supervised, self._lost_logs.run)
         await _spawn(run_supervised, self._desk.rollback_idle)
-        await _spawn(self._accept, _listen(listen.callers))
+        callers = _listen(listen.callers)
+        await _spawn(accept_connections, callers, self._serve_caller)
         number = signal.SIGHUP
         while number == signal.SIGHUP:
             number = await wait_for_signal(
@@ -334,21 +341,30 @@
         is_asked = read_clock() - asked_at < _STAND_IN_SECONDS
         return is_asked or self._book.is_gateway(entry)
 
-    async def _accept(self, sock: socket.socket) -> None:
-        async with sock:
-            while True:
-                client, _address = await sock.accept()
-                client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-                await curio.spawn(serve_caller, client, self._desk, daemon=True)
+    async def _serve_caller(
+        self, client: socket.socket, _address: tuple
+    ) -> None:
+        """Serve a caller, or turn it away when there are too many."""
+        if self._callers >= self._most_callers:
+            self._log.write('caller_turned_away', callers=self._callers)
+            await turn_away(client, add_jitter(_FULL_RETRY_SECONDS))
+            return
+        self._callers += 1
+        try:
+            await serve_caller(client, self._desk)
+        finally:
+            self._callers -= 1
 
     def _show_ready(self) -> tuple[int, str]:
-        if self._desk.is_ready:
+        if self._desk.is_ready and self._callers < self._most_callers:
             return _OK, 'ready\n'
         return _NOT_READY, 'not ready\n'
 
     def _show_metrics(self) -> tuple[int, str]:
         gauges = {
             'sessions': float(len(self._desk.sessions)),
+            'callers': float(self._callers),
+            'most_callers': float(self._most_callers),
             'plan_age_seconds': self._state.find_plan_age(read_clock()),
             'store_era': float(self._state.store_era.current),
             'log_lines_left_out': float(self._log.left_out),
--- a/comfreystair/observability/pages.py
+++ b/comfreystair/observability/pages.py
@@ -8,6 +8,8 @@
 from curio import socket
 from loguru import logger
 
+from comfreystair.listening import accept_connections
+
 _READ_BYTES: Final = 4096
 # Bound on one connection's rest between requests, in seconds.
 _IDLE_SECONDS: Final = 30.0
@@ -17,10 +19,11 @@
 
 async def serve_pages(sock: socket.socket, page: Page) -> None:
     """Answer every request on a listening socket with a page."""
-    async with sock:
-        while True:
-            client, _address = await sock.accept()
-            await curio.spawn(_serve, client, page, daemon=True)
+
+    async def handle(client: socket.socket, _address: tuple) -> None:
+        await _serve(client, page)
+
+    await accept_connections(sock, handle)
 
 
 async def _serve(client: socket.socket, page: Page) -> None:
--- a/comfreystair/peers/server.py
+++ b/comfreystair/peers/server.py
@@ -9,6 +9,7 @@
 from loguru import logger
 
 from comfreystair.exceptions import ComfreystairError
+from comfreystair.listening import accept_connections
 from comfreystair.peers import messages
 from comfreystair.peers.client import shut_down
 from comfreystair.peers.exceptions import PeerError
@@ -37,13 +38,10 @@
 
     async def run(self, sock: socket.socket) -> None:
         """Accept connections on a listening socket until cancelled."""
-        async with sock:
-            while True:
-                client, _address = await sock.accept()
-                client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-                await curio.spawn(self._serve, client, daemon=True)
+        await accept_connections(sock, self._serve)
 
-    async def _serve(self, client: socket.socket) -> None:
+    async def _serve(self, client: socket.socket, _address: tuple) -> None:
+        client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         lock = curio.Lock()
         async with client:
             try:
--- a/comfreystair/platform/callers.py
+++ b/comfreystair/platform/callers.py
@@ -18,6 +18,7 @@
     Answer,
     Failure,
     build_failed_answer,
+    build_retry_answer,
 )
 
 # Bound on the wait for a caller's first line, in seconds: callers give up
@@ -26,6 +27,7 @@
 # Bound on sending an answer to a caller that does not read, in seconds.
 _SEND_SECONDS: Final = 10.0
 _GONE_ERRORS: Final = (OSError, curio.TaskTimeout)
+_UNSERVED_ERRORS: Final = (OSError, curio.TaskTimeout, MalformedError)
 
 
 async def serve_caller(sock: socket.socket, desk: SessionManager) -> None:
@@ -33,6 +35,7 @@
     async with sock:
         reader = LineReader(sock)
         try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             await _serve(sock, reader, desk)
         except MalformedError as error:
             logger.info('event=caller_malformed reason="{}"', error)
@@ -41,6 +44,21 @@
             logger.debug('event=caller_gone reason="{}"', error)
 
 
+async def turn_away(sock: socket.socket, retry_seconds: float) -> None:
+    """Tell a caller that nothing has run and when to come back.
+
+    Its first line is read before, as closing would else reset the connection
+    and the answer could be lost.
+    """
+    refusal = build_retry_answer('too many sessions, not run', retry_seconds)
+    try:
+        async with sock, curio.timeout_after(_STARTUP_SECONDS):
+            await LineReader(sock).read()
+            await _send(sock, _format_error(refusal))
+    except _UNSERVED_ERRORS as error:
+        logger.debug('event=caller_gone reason="{}"', error)
+
+
 async def _serve(
     sock: socket.socket, reader: LineReader, desk: SessionManager
 ) -> None:
--- a/standins/platform/deployment.py
+++ b/standins/platform/deployment.py
@@ -33,11 +33,13 @@
         instances: int,
         lag: float = 0.02,
         has_proxy: bool = False,
+        limits: dict | None = None,
     ) -> None:
         """Choose ports; nothing runs before :meth:`start`.
 
         :param has_proxy: put a fault proxy before the targets and, for each
             instance, before the platform.
+        :param limits: of the instances, as in their settings.
         """
         links = [*TARGETS, *(f'store-{one}' for one in range(instances))]
         ports = find_ports(2 + len(links) + len(TARGETS) + 4 * instances)
@@ -54,6 +56,7 @@
             rest[4 * number : 4 * number + 4] for number in range(instances)
         ]
         self._lag = lag
+        self._limits = limits or {}
         self._processes: dict[str, subprocess.Popen] = {}
 
     @property
@@ -106,6 +109,7 @@
                     },
                     'store': {'address': f'{host}:{platform}'},
                     'promotion': {'address': f'{host}:{platform}'},
+                    'limits': self._limits,
                 }
             )
         )
