Keep a signal that arrives while another one is handled

SIGHUP and, right after it, SIGTERM: the SIGTERM was lost, so the instance did not drain and was killed after its grace.

Cause: `wait_for_signal` read one byte of a socket pair and dropped the pair with what else it held; the next wait made another one.

`SignalReader` receives signals for the life of the process and keeps those that were not read yet.

--- a/comfreystair/daemon.py
+++ b/comfreystair/daemon.py
@@ -53,7 +53,7 @@
 from comfreystair.peers import PeerClients, PeerError, PeerServer
 from comfreystair.peers.messages import definitions
 from comfreystair.peers.server import Method
-from comfreystair.signals import wait_for_signal
+from comfreystair.signals import SignalReader
 from comfreystair.targets.groups import DatabaseGroup
 
 EXIT_USAGE: Final = 2
@@ -176,7 +176,7 @@
             settings.callers.port,
             settings.peers.port,
         )
-        await wait_for_signal(signal.SIGTERM, signal.SIGINT)
+        await SignalReader(signal.SIGTERM, signal.SIGINT).read()
         await self._shut_down(accepting, loops)
 
     async def _shut_down(
--- a/comfreystair/entry.py
+++ b/comfreystair/entry.py
@@ -64,7 +64,7 @@
 from comfreystair.sessions.manager import SessionManager
 from comfreystair.sessions.target_selector import TargetSelector
 from comfreystair.sessions.transactions import TransactionManager
-from comfreystair.signals import wait_for_signal
+from comfreystair.signals import SignalReader
 from comfreystair.tasks import run_supervised
 
 SETTINGS_VARIABLE: Final = 'COMFREYSTAIR_SETTINGS'
@@ -229,13 +229,11 @@
         await _spawn(run_supervised, self._desk.rollback_idle)
         callers = _listen(listen.callers)
         await _spawn(accept_connections, callers, self._serve_caller)
-        number = signal.SIGHUP
+        signals = SignalReader(signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+        number = await signals.read()
         while number == signal.SIGHUP:
-            number = await wait_for_signal(
-                signal.SIGTERM, signal.SIGINT, signal.SIGHUP
-            )
-            if number == signal.SIGHUP:
-                self._reload()
+            self._reload()
+            number = await signals.read()
         await self._shut_down(number)
 
     def _reload(self) -> None:
