--- a/comfreystair/callers/own_settings.py
+++ b/comfreystair/callers/own_settings.py
@@ -45,13 +45,13 @@
     :raises RequestError: when the setting is not one, or its form is wrong.
     """
     kind = statement.kinds[0]
-    name = statement.name.removeprefix(_OWN_PREFIX)
+    name = statement.setting_name.removeprefix(_OWN_PREFIX)
     if kind == 'show':
         return _build_frames(batch, statement, _show(session, name))
     if kind == 'set':
         apply_setting(session, name, statement.setting)
-    elif kind == 'deallocate' and statement.name:
-        session.statements.pop(statement.name, None)
+    elif kind == 'deallocate' and statement.prepared_name:
+        session.statements.pop(statement.prepared_name, None)
     else:
         session.statements.clear()
     return _build_frames(batch, statement, None)
@@ -101,7 +101,7 @@
     batch: Batch, statement: Statement, shown: str | None
 ) -> bytes:
     tag = _TAGS[statement.kinds[0]]
-    columns = b'' if shown is None else _build_columns(statement.name)
+    columns = b'' if shown is None else _build_columns(statement.setting_name)
     rows = b'' if shown is None else _build_row(shown)
     ended = rows + build_command_complete(tag)
     if not batch.is_extended:
--- a/comfreystair/routing/statements.py
+++ b/comfreystair/routing/statements.py
@@ -48,15 +48,17 @@
     """Classification of the text of a query.
 
     :param kinds: kind of each statement in the text.
-    :param name: name of the setting that SET or SHOW names, or of the prepared
-        statement that DEALLOCATE names.
+    :param setting_name: name of the setting that SET or SHOW names.
+    :param prepared_name: name of the prepared statement that DEALLOCATE names;
+        empty for all.
     :param setting: value that SET assigns.
     :param reason: what is not supported, when a kind is ``refused``.
     """
 
     kinds: tuple[StatementKind, ...]
     tag: Tag = NO_TAG
-    name: str = ''
+    setting_name: str = ''
+    prepared_name: str = ''
     setting: str = ''
     reason: str = ''
 
@@ -70,8 +72,8 @@
 
     @property
     def is_proxy_setting(self) -> bool:
-        """Tell whether ``name`` is a setting of the proxy itself."""
-        return self.name.startswith(_PROXY_SETTING_PREFIX)
+        """Tell whether the setting is one of the proxy itself."""
+        return self.setting_name.startswith(_PROXY_SETTING_PREFIX)
 
     @property
     def first_kind(self) -> StatementKind:
@@ -131,10 +133,12 @@
 def _add_name_and_setting(statement: Statement, node: ast.Node) -> Statement:
     if isinstance(node, ast.VariableSetStmt):
         return statement._replace(
-            name=node.name or '', setting=_get_setting(node)
+            setting_name=node.name or '', setting=_get_setting(node)
         )
-    if isinstance(node, ast.VariableShowStmt | ast.DeallocateStmt):
-        return statement._replace(name=node.name or '')
+    if isinstance(node, ast.VariableShowStmt):
+        return statement._replace(setting_name=node.name or '')
+    if isinstance(node, ast.DeallocateStmt):
+        return statement._replace(prepared_name=node.name or '')
     return statement
 
 
--- a/tests/routing/test_statements.py
+++ b/tests/routing/test_statements.py
@@ -49,6 +49,20 @@
         self.assertEqual(tag, Tag('badge', 'k-1'))
         self.assertEqual(parse_tag('/* other */ SELECT 1'), Tag())
 
+    def test_each_kind_of_name_has_its_field(self) -> None:
+        """Guards against a statement that is taken for a setting."""
+        forms = {
+            'DEALLOCATE "comfreystair.route"': ('', 'comfreystair.route'),
+            'DEALLOCATE ALL': ('', ''),
+            'SHOW comfreystair.route': ('comfreystair.route', ''),
+            "SET comfreystair.route = 'a'": ('comfreystair.route', ''),
+        }
+        for text, names in forms.items():
+            read = classify_statement(text)
+            found = (read.setting_name, read.prepared_name)
+            self.assertEqual(found, names, text)
+            self.assertEqual(read.is_proxy_setting, bool(names[0]), text)
+
 
 if __name__ == '__main__':
     unittest.main()
