Settle lost logs only by a proved primary, and only in groups that need it

One that was replaced meanwhile does not know the last commits, so a loss could be forgotten too early. Found by reading; the decision is now tied to the proof that acknowledgements need (`find_primary`).

Groups without SyncReplicas are skipped before ranks are computed, which costs a hash for each instance and group once a second.

--- a/comfreystair/coordination/durable_logs.py
+++ b/comfreystair/coordination/durable_logs.py
@@ -174,16 +174,18 @@
         """Check all groups periodically until cancelled."""
         while True:
             await curio.sleep(add_jitter(_SETTLE_INTERVAL_SECONDS))
-            for group in list(self._state.groups):
+            groups = filter(
+                self._state.find_sync_replicas, list(self._state.groups)
+            )
+            for group in groups:
                 with contain_errors('settle_losses', group):
                     await self._settle(group)
 
     async def _settle(self, group: str) -> None:
         logs = self._state.find_replica_logs(group)
-        sync_replicas = self._state.find_sync_replicas(group)
         own = self._state.own.name
         rank = find_rank(group, self._state.instances, own)
-        if not sync_replicas or rank > _MAX_SETTLING_RANK:
+        if rank > _MAX_SETTLING_RANK:
             return
         if group not in self._groups_read:
             # Logs may have been lost before this instance started.
@@ -191,25 +193,33 @@
             self._groups_read.add(group)
         if not logs.losses:
             return
-        record = self._state.find_group(group).primary_tracker.record
         asked_at = read_clock()
-        statuses = await self._prober.query_group(group)
-        ends = [
-            one.received
-            for one in statuses
-            if one.ident == record.primary and one.is_primary
-        ]
-        if not ends or record.is_changing:
+        end = await self._find_end(group)
+        if end is None:
             return
         await curio.sleep(_FOLLOW_SECONDS)
         received = [
             one.received
             for one in await self._prober.query_group(group)
-            if one.ident != record.primary
+            if not one.is_primary
         ]
-        if hold_position(received, ends[0], sync_replicas):
+        sync_replicas = self._state.find_sync_replicas(group)
+        if hold_position(received, end, sync_replicas):
             logs.settle(asked_at)
-            self._log.write('losses_settled', group=group, end=ends[0])
+            self._log.write('losses_settled', group=group, end=end)
+
+    async def _find_end(self, group: str) -> Position | None:
+        """Return the end of the primary's log, if the primary is proved."""
+        tracker = self._state.find_group(group).primary_tracker
+        statuses = await self._prober.query_group(group)
+        # A primary that was replaced meanwhile does not know the last commits.
+        primary = tracker.find_primary(read_clock())
+        ends = [
+            one.received
+            for one in statuses
+            if one.ident == primary and one.is_primary
+        ]
+        return ends[0] if ends else None
 
 
 async def read_log_addresses(
