--- a/tests/management/test_logs.py
+++ b/tests/management/test_logs.py
@@ -61,6 +61,18 @@
         self.assertEqual(len(lines), 2)
         self.assertIn('proof_age=1.200', lines[0])
 
+    def test_timeline_shows_why_no_target_is_promoted(self) -> None:
+        """Guards against a group that waits without a word to operators."""
+        events = ('entry_left_out', 'promotion_unproved', 'losses_settled')
+        text = ''.join(
+            f'at={number}.0 instance=a event={event} group=permits\n'
+            for number, event in enumerate(events)
+        )
+        pathlib.Path(self.path).write_text(text)
+        shown = self.run_command('timeline', self.path).output
+        for event in events:
+            self.assertIn(event, shown)
+
 
 if __name__ == '__main__':
     unittest.main()
