Evacuate availability zones within a proved bound

Operators may ask that the targets of a zone get no more requests. Nothing here read that request. Its keys, also the absent ones, are now conditions of the call that proves the plan, and proofs carry them to the other instances. Reads leave the zone at once; a primary there is replaced as planned, only by a target that has its whole log; open transactions end before the bound, which counts from the last proof that the zone was not evacuated.

--- a/comfreystair/conf/entry.py
+++ b/comfreystair/conf/entry.py
@@ -47,7 +47,10 @@
 
 
 class BoundsSection(Section, frozen=True):
-    """What operators are promised, in milliseconds."""
+    """What operators are promised, in milliseconds.
+
+    :param evacuation_ms: 0 where zones are not evacuated.
+    """
 
     key_revocation_ms: int = 5000
     configuration_ms: int = 3000
@@ -55,6 +58,7 @@
     shutdown_ms: int = 6000
     drain_ms: int = 7000
     rate_window_ms: int = 5000
+    evacuation_ms: int = 0
 
 
 class LimitsSection(Section, frozen=True):
@@ -86,6 +90,11 @@
         """Return within which time a withdrawn key must stop."""
         return self.bounds.key_revocation_ms / _MILLISECONDS
 
+    @property
+    def evacuation_seconds(self) -> float:
+        """Return within which time an evacuated zone gets no more requests."""
+        return self.bounds.evacuation_ms / _MILLISECONDS
+
     @property
     def shutdown_seconds(self) -> float:
         """Return how long a shutdown may take."""
@@ -112,6 +121,7 @@
             _check_keys,
             _check_shutdown,
             _check_descriptors,
+            _check_evacuation,
         )
         for found in check(settings)
     ]
@@ -168,3 +178,17 @@
             f'allow {_MIN_DESCRIPTORS} or more, or 0 for no limit of its own',
         )
     ]
+
+
+def _check_evacuation(settings: EntrySettings) -> list[Finding]:
+    seconds = settings.evacuation_seconds
+    if not seconds or seconds > PROOF_TTL_SECONDS:
+        return []
+    return [
+        Finding(
+            'comfreystair.E105',
+            LEVEL_ERROR,
+            'zones must be evacuated sooner than evacuations are confirmed',
+            f'raise evacuation_ms above {PROOF_TTL_SECONDS * _MILLISECONDS:g}',
+        )
+    ]
--- a/comfreystair/controllers/primary_outage.py
+++ b/comfreystair/controllers/primary_outage.py
@@ -17,6 +17,9 @@
 _OVERDUE_SECONDS: Final = 0.3
 # Estimate while no failover can start, as the store does not answer.
 _NO_STORE_SECONDS: Final = 0.5
+# Estimate while no target may lead, as all are in evacuated zones. Operators
+# end an evacuation after minutes rather than seconds.
+_NO_SUCCESSOR_SECONDS: Final = 5.0
 
 
 class PrimaryOutage(NamedTuple):
@@ -28,12 +31,16 @@
     :param changing_since: since when a failover is known to run, absent if
         none is.
     :param is_store_reached: proofs can be refreshed, and a failover can start.
+    :param is_evacuated: the primary's availability zone is evacuated.
+    :param has_successor: another target may lead the group.
     """
 
     unreachable_since: float | None
     has_failed_probe: bool
     changing_since: float | None
     is_store_reached: bool
+    is_evacuated: bool = False
+    has_successor: bool = True
 
 
 def estimate_outage(outage: PrimaryOutage, now: float) -> float:
@@ -45,6 +52,10 @@
         return _NO_STORE_SECONDS
     if outage.changing_since is not None:
         return _estimate_failover(now - outage.changing_since)
+    if outage.is_evacuated:
+        return (
+            _FAILOVER_SECONDS if outage.has_successor else _NO_SUCCESSOR_SECONDS
+        )
     if outage.unreachable_since is None or not outage.has_failed_probe:
         return 0
     starts_at = outage.unreachable_since + FAILURE_DETECTION_SECONDS
--- a/comfreystair/coordination/failover.py
+++ b/comfreystair/coordination/failover.py
@@ -9,8 +9,9 @@
    its contact with other zones if that is sooner.
 3. Demote the old primary meanwhile, if it can be reached.
 4. Wait for a limited time until a successor has received the old primary's
-   log. In a group with synchronous replication, wait until a successor is
-   proved to hold all acknowledged commits.
+   log. There is no limit if the old primary runs and only its availability
+   zone is evacuated. In a group with synchronous replication, wait until a
+   successor is proved to hold all acknowledged commits.
 5. Promote the successor.
 6. Write the new record and publish it to all instances.
 
@@ -461,8 +462,8 @@
             if other_primary is not None:
                 return other_primary.ident, other_primary.term
             failover = await self._find_log_end(failover, statuses)
-            may_promote = read_clock() >= catch_up_ends_at or has_caught_up(
-                statuses, failover.log_end, failover.old_record.primary
+            may_promote = self._may_promote(
+                failover, statuses, read_clock() >= catch_up_ends_at
             )
             if failover.old_record.primary and may_promote:
                 promoted = await self._promote_successor(
@@ -475,6 +476,46 @@
             'no target became primary before the lease expired', 'elect'
         )
 
+    def _select_candidates(
+        self, group: str, statuses: list[ReplicationStatus]
+    ) -> list[ReplicationStatus]:
+        """Return the statuses without those of targets that may not lead."""
+        allowed = {one.ident for one in self._state.list_successors(group)}
+        return [status for status in statuses if status.ident in allowed]
+
+    def _may_promote(
+        self,
+        failover: Failover,
+        statuses: list[ReplicationStatus],
+        is_overdue: bool,
+    ) -> bool:
+        """Tell whether a successor has received enough to be promoted.
+
+        :param is_overdue: the time for catching up has passed.
+        """
+        candidates = self._select_candidates(failover.group, statuses)
+        has_whole_log = has_caught_up(
+            candidates, failover.log_end, failover.old_record.primary
+        )
+        if self._must_catch_up(failover, statuses):
+            return failover.log_end is not None and has_whole_log
+        return is_overdue or has_whole_log
+
+    def _must_catch_up(
+        self, failover: Failover, statuses: Iterable[ReplicationStatus]
+    ) -> bool:
+        """Tell whether nothing may be lost, however long it takes.
+
+        That is so when the old primary runs and only its zone is evacuated: it
+        keeps its log and can lead again.
+        """
+        old = failover.old_record.primary
+        entry = self._state.targets.get(old)
+        if entry is None or entry.is_leaving:
+            return False
+        is_running = any(status.ident == old for status in statuses)
+        return is_running and self._state.evacuations.is_evacuated(entry.zone)
+
     async def _promote_successor(
         self,
         failover: Failover,
@@ -504,15 +545,16 @@
         failed_targets: set[str],
     ) -> ReplicationStatus | None:
         old_primary = failover.old_record.primary
+        candidates = self._select_candidates(failover.group, statuses)
         if not self._state.find_sync_replicas(failover.group):
-            return choose_successor(statuses, old_primary, failed_targets)
+            return choose_successor(candidates, old_primary, failed_targets)
         durable_end = self._durable_ends.find(
             failover.group, old_primary, failover.log_end, statuses
         )
         if durable_end is None:
             return None
         return choose_durable_successor(
-            statuses, old_primary, failed_targets, durable_end
+            candidates, old_primary, failed_targets, durable_end
         )
 
     async def _find_log_end(
@@ -525,7 +567,9 @@
         old = failover.old_record.primary
         status = next((one for one in statuses if one.ident == old), None)
         is_known = failover.log_end is not None
-        is_needed = self._state.find_sync_replicas(failover.group)
+        is_needed = self._state.find_sync_replicas(
+            failover.group
+        ) or self._must_catch_up(failover, statuses)
         if status is None or is_known or not is_needed:
             return failover
         if not status.is_primary:
--- a/comfreystair/coordination/heartbeat.py
+++ b/comfreystair/coordination/heartbeat.py
@@ -16,6 +16,7 @@
 from comfreystair.clocks import read_clock
 from comfreystair.controllers.primary_tracking import PROOF_TTL_SECONDS
 from comfreystair.controllers.store_position import ABSENT, StorePosition
+from comfreystair.coordination.evacuations import EvacuationKeys
 from comfreystair.coordination.jitter import add_jitter
 from comfreystair.coordination.plan_cache import PlanCache
 from comfreystair.coordination.proofs import (
@@ -67,6 +68,7 @@
         plan_key: str,
         plans: PlanCache,
         exchange: ProofExchange,
+        evacuations: EvacuationKeys,
         log: DecisionLog,
     ) -> None:
         """Initialise an instance that is not registered and has no proofs.
@@ -76,9 +78,11 @@
         :param plan_key: key of the plan in the store.
         :param plans: receives the plans that are read.
         :param exchange: fetches proofs from other instances.
+        :param evacuations: the evacuations of zones.
         :param log: receives an event when proofs are lost and regained.
         """
         self._exchange = exchange
+        self._evacuations = evacuations
         self._state = state
         self._store = store
         self._plan_key = plan_key
@@ -221,9 +225,12 @@
         if not self._has_registration():
             raise ComfreystairError('the registration was lost', 'register')
         groups = self._list_groups()
+        # The evacuations stand in the same call as the plan where they fit.
+        keys = list(self._evacuations.list_positions())
+        keys.extend(f'{GROUPS_PREFIX}{group}' for group in groups)
         batch_size = _MAX_KEYS - 2
-        for start in range(0, max(len(groups), 1), batch_size):
-            await self._check_positions(groups[start : start + batch_size])
+        for start in range(0, max(len(keys), 1), batch_size):
+            await self._check_positions(keys[start : start + batch_size])
 
     async def _fetch_from_other_zones(self) -> bool:
         """Fetch proofs from other zones while the store does not answer.
@@ -254,18 +261,23 @@
         except ComfreystairError as error:
             self._log.write('registration_not_renewed', reason=error)
 
-    async def _check_positions(self, groups: list[str]) -> None:
-        """Get proofs of the plan and of groups' records with one transaction.
+    async def _check_positions(self, keys: list[str]) -> None:
+        """Get proofs of the plan and of other keys with one transaction.
 
         A conflict returns the current values, which are then applied.
+
+        :param keys: of groups' records and of evacuations.
         """
-        state = self._state
         expected = {
             self._plan_key: self._plans.position,
             self._own_key: self._own_position,
         }
+        groups = _select_groups(keys)
+        positions = self._evacuations.list_positions()
+        for key in keys:
+            expected[key] = positions.get(key, ABSENT)
         for group in groups:
-            record = state.find_group(group).primary_tracker.record
+            record = self._state.find_group(group).primary_tracker.record
             expected[f'{GROUPS_PREFIX}{group}'] = record.position
         asked_at = read_clock()
         outcome = await self._store.compare_and_set(expected)
@@ -275,6 +287,7 @@
             return
         if self._plans.position.is_set:
             self._plans.record_proof(asked_at)
+        self._evacuations.record_proof(keys, asked_at)
         for group in groups:
             await self._update_group(group, None, asked_at)
 
@@ -302,6 +315,7 @@
             return
         plan = current.get(self._plan_key, MISSING)
         self._plans.update(plan, asked_at, 'store')
+        self._evacuations.update(expected, current, asked_at)
         missing = MISSING._replace(
             position=StorePosition(self._state.store_era.current)
         )
@@ -407,6 +421,15 @@
             self._log.write(event, reason=reason, proof_age=age)
 
 
+def _select_groups(keys: list[str]) -> list[str]:
+    """Return the groups whose records are among some keys."""
+    return [
+        key.removeprefix(GROUPS_PREFIX)
+        for key in keys
+        if key.startswith(GROUPS_PREFIX)
+    ]
+
+
 def _describe_differences(
     expected: dict[str, StorePosition], current: dict[str, StoredValue]
 ) -> str:
--- a/comfreystair/coordination/primary_monitor.py
+++ b/comfreystair/coordination/primary_monitor.py
@@ -24,6 +24,7 @@
 from comfreystair.coordination.state import FleetState, GroupState
 from comfreystair.coordination.target_prober import TargetProber
 from comfreystair.observability.decisions import DecisionLog
+from comfreystair.pooling.targets import TargetEntry
 from comfreystair.tasks import contain_errors, describe_error
 
 _CHECK_INTERVAL_SECONDS: Final = 0.2
@@ -33,16 +34,24 @@
 # Each further rank waits this much longer before it starts a failover.
 _RANK_DELAY_SECONDS: Final = 0.12
 _MAX_DELAYED_RANK: Final = 12
-# Delays after a failover that failed. The longer one applies when another
-# instance holds the failover lease.
+# The same for an evacuated primary. Each rank queries the whole group, and as
+# nobody may be able to lead it, all of them would do so again and again.
+_EVACUATED_RANK_DELAY_SECONDS: Final = 0.4
+# Delays after a failover that failed. The longer ones apply when another
+# instance holds the failover lease, and when no target may lead the group.
 _RETRY_DELAY_SECONDS: Final = 0.45
-_LEASE_HELD_DELAY_SECONDS: Final = 1.4
+STEP_CHOOSE: Final = 'choose'
+_STEP_RETRY_DELAYS_SECONDS: Final = {  # noqa: WPS407
+    STEP_ANNOUNCE: 1.4,
+    STEP_CHOOSE: 2.0,
+}
 
 _NO_PRIMARY: Final = 'no primary known'
 _RESTORED: Final = 'store was restored'
 _STALLED: Final = 'failover stalled'
 _GONE: Final = 'primary is gone'
 _LEAVING: Final = 'primary leaves'
+_EVACUATED: Final = "primary's zone is evacuated"
 _UNREACHABLE: Final = 'primary does not answer'
 _DEMOTED: Final = 'primary has become a replica'
 # How long a reason must persist before a failover starts, 0 s for the other
@@ -53,10 +62,15 @@
     _STALLED: LEASE_TTL_SECONDS,
     _GONE: 0.3,
     _LEAVING: 0.2,
+    _EVACUATED: 0.1,
     _DEMOTED: 0.2,
 }
 
 
+# Reasons for which the primary is replaced while it still runs.
+_PLANNED_REASONS: Final = frozenset((_LEAVING, _EVACUATED))
+
+
 class PrimaryMonitor:
     """Watches the primaries of all groups and starts failovers."""
 
@@ -126,6 +140,8 @@
             return
         rank = find_rank(name, self._state.instances, self._state.own.name)
         delay = min(rank, _MAX_DELAYED_RANK) * _RANK_DELAY_SECONDS
+        if reason == _EVACUATED:
+            delay = rank * _EVACUATED_RANK_DELAY_SECONDS
         if now - since < _PERSISTENCE_SECONDS.get(reason, 0) + delay:
             return
         self._groups_in_failover.add(name)
@@ -181,8 +197,9 @@
             return _GONE
         if entry.is_leaving:
             return _LEAVING
-        if group.unreachable_since is None:
-            return ''
+        is_evacuated = self._is_replaceable(entry)
+        if is_evacuated or group.unreachable_since is None:
+            return _EVACUATED if is_evacuated else ''
         asked_at = read_clock()
         probe = await self._prober.probe(entry)
         if not probe.is_answered:
@@ -195,6 +212,15 @@
             return ''
         return _DEMOTED
 
+    def _is_replaceable(self, entry: TargetEntry) -> bool:
+        """Tell whether a primary is evacuated and another target may lead."""
+        if not self._state.evacuations.is_evacuated(entry.zone):
+            return False
+        return any(
+            not successor.is_leaving
+            for successor in self._state.list_successors(entry.group)
+        )
+
     async def _judge_unreachable(self, name: str, group: GroupState) -> str:
         """Return why a primary that gave no status must be replaced.
 
@@ -213,6 +239,18 @@
         is_lasting = read_clock() - since >= FAILURE_DETECTION_SECONDS
         return _UNREACHABLE if is_lasting else ''
 
+    async def _has_successor(self, name: str) -> bool:
+        """Tell whether a target that may lead a group gives its status.
+
+        Without one, stopping the primary would only end its use sooner.
+        """
+        allowed = {one.ident for one in self._state.list_successors(name)}
+        statuses = await self._prober.query_group(name)
+        return any(
+            status.ident in allowed and not status.is_leaving
+            for status in statuses
+        )
+
     async def _try_failover(self, name: str, reason: str) -> None:
         """Run a failover and log its outcome; a failure delays the next one.
 
@@ -227,17 +265,14 @@
                 and not await self._notices.is_widely_unreachable(name)
             ):
                 raise FailoverError('other instances reach the primary', 'ask')
+            if reason == _EVACUATED and not await self._has_successor(name):
+                raise FailoverError('no target may lead the group', STEP_CHOOSE)
             await self._failover_coordinator.fail_over(
-                name, reason, reason == _LEAVING
+                name, reason, reason in _PLANNED_REASONS
             )
         except Exception as error:
             step = getattr(error, 'step', '')
-            is_lease_held = step == STEP_ANNOUNCE
-            delay = (
-                _LEASE_HELD_DELAY_SECONDS
-                if is_lease_held
-                else _RETRY_DELAY_SECONDS
-            )
+            delay = _STEP_RETRY_DELAYS_SECONDS.get(step, _RETRY_DELAY_SECONDS)
             self._retry_at[name] = read_clock() + add_jitter(delay)
             self._log.write(
                 'change_stopped',
--- a/comfreystair/coordination/proofs.py
+++ b/comfreystair/coordination/proofs.py
@@ -17,6 +17,7 @@
     PrimaryRecord,
 )
 from comfreystair.controllers.store_position import StorePosition
+from comfreystair.coordination.evacuations import EvacuationKeys
 from comfreystair.coordination.plan_cache import PlanCache
 from comfreystair.coordination.records import InstanceRecord, StoredValue
 from comfreystair.coordination.rendezvous import find_rank
@@ -45,6 +46,7 @@
         plans: PlanCache,
         peers: PeerClients,
         read_plan: Callable[[], Awaitable[StoredValue]],
+        evacuations: EvacuationKeys,
         log: DecisionLog,
     ) -> None:
         """Initialise an exchange without followers.
@@ -54,10 +56,12 @@
         :param peers: clients of the other instances.
         :param read_plan: reads the plan from the store, which may return an
             outdated one.
+        :param evacuations: the evacuations of zones.
         :param log: receives an event when a source is avoided.
         """
         self._read_plan = read_plan
         self._plans = plans
+        self._evacuations = evacuations
         self._state = state
         self._peers = peers
         self._log = log
@@ -119,6 +123,7 @@
                 )
                 for name, group in self._state.groups.items()
             ],
+            evacuations=self._evacuations.encode(),
         )
 
     async def fetch_from(self, source: InstanceRecord) -> bool:
@@ -144,6 +149,9 @@
         except ComfreystairError as error:
             self._avoid(source, str(error))
             return False
+        self._evacuations.apply_proofs(
+            proof.evacuations or (), asked_at, source.name
+        )
         version = proof.plan_version or 0
         if not version and not self._plans.version:
             # Neither side has a plan. That is a proof as well, if the source
--- a/comfreystair/coordination/state.py
+++ b/comfreystair/coordination/state.py
@@ -6,6 +6,7 @@
 import curio
 
 from comfreystair.clocks import read_clock
+from comfreystair.controllers.places.evacuation import Evacuations
 from comfreystair.controllers.primary_tracking import (
     PrimaryRecord,
     PrimaryTracker,
@@ -117,6 +118,7 @@
         time of the last list that contained them. They are kept for some time
         after they are no longer listed.
     :ivar keepers: keepers of the rate limits, by availability zone.
+    :ivar evacuations: availability zones that operators have evacuated.
     :ivar is_draining: this instance is shutting down.
     """
 
@@ -134,6 +136,7 @@
             own.name: (own, read_clock())
         }
         self.keepers: dict[str, InstanceRecord] = {}
+        self.evacuations = Evacuations()
         self.is_draining = False
         self._groups: dict[str, GroupState] = {}
         self._replica_logs: dict[str, ReplicaLogs] = {}
@@ -182,6 +185,21 @@
         """Return a group's targets."""
         return [one for one in self.targets.values() if one.group == group]
 
+    def list_successors(self, group: str) -> list[TargetEntry]:
+        """Return a group's targets that may lead it.
+
+        Targets of evacuated zones may not.
+        """
+        return [
+            entry
+            for entry in self.list_targets(group)
+            if not self.evacuations.is_evacuated(entry.zone)
+        ]
+
+    def may_send(self, entry: TargetEntry, now: float) -> bool:
+        """Tell whether a request may be sent to a target."""
+        return self.evacuations.may_send(entry.zone, now)
+
     def find_plan_age(self, now: float) -> float:
         """Return the seconds since the plan was last proved the newest."""
         return now - self.plan_proved_at
--- a/comfreystair/entry.py
+++ b/comfreystair/entry.py
@@ -19,8 +19,10 @@
     load_entry_settings,
 )
 from comfreystair.controllers.membership import build_incarnation
+from comfreystair.controllers.places.evacuation import Evacuations
 from comfreystair.coordination.contacts import ContactExchange
 from comfreystair.coordination.durable_logs import LostLogSettler
+from comfreystair.coordination.evacuations import EvacuationKeys
 from comfreystair.coordination.failover import FailoverCoordinator
 from comfreystair.coordination.failover_notices import FailoverNotices
 from comfreystair.coordination.heartbeat import Heartbeat
@@ -47,8 +49,10 @@
 from comfreystair.peers.server import Method
 from comfreystair.platform.callers import serve_caller, turn_away
 from comfreystair.platform.documents import (
+    EVACUATIONS_PREFIX,
     PLAN_KEY,
     TARGETS_PREFIX,
+    check_evacuation,
     parse_plan,
     parse_target,
 )
@@ -120,6 +124,10 @@
             needs_contact=len(settings.zones) > 1,
         )
         self._state = FleetState(own)
+        if settings.evacuation_seconds:
+            self._state.evacuations = Evacuations(
+                settings.zones, settings.evacuation_seconds
+            )
         self._dial = _bound_silence(build_dialer(instance.address))
         era = self._state.store_era
         era.add_listener(self._log_era)
@@ -132,12 +140,17 @@
             era,
         )
         self._peers = PeerClients(self._dial, _PEER_SECONDS, '')
+        self._store = store
         self._plans = PlanCache(self._state, parse_plan, self._log)
+        self._evacuations = EvacuationKeys(
+            self._state, EVACUATIONS_PREFIX, check_evacuation, self._log
+        )
         self._exchange = ProofExchange(
             self._state,
             self._plans,
             self._peers,
             lambda: store.read(PLAN_KEY),
+            self._evacuations,
             self._log,
         )
         self._pulse = Heartbeat(
@@ -146,6 +159,7 @@
             PLAN_KEY,
             self._plans,
             self._exchange,
+            self._evacuations,
             self._log,
         )
         self._contacts = ContactExchange(
@@ -198,7 +212,7 @@
             self._log,
         )
         self._lost_logs = LostLogSettler(self._state, store, probes, self._log)
-        self._board = PoolManager(instance.zone, self._open)
+        self._board = PoolManager(instance.zone, self._open, self._may_send)
         self._book = GatewaySelector(self._state, self._peers)
         self._local = LocalExecutor(self._board, self._log)
         self._counters = Counters()
@@ -226,6 +240,13 @@
         await _spawn(run_supervised, self._duty.run)
         await _spawn(run_supervised, self._leaders.run)
         await _spawn(run_supervised, self._lost_logs.run)
+        if settings.evacuation_seconds:
+            await _spawn(
+                run_supervised,
+                self._evacuations.look_for_unknown_zones,
+                self._store,
+                self._exchange,
+            )
         await _spawn(run_supervised, self._desk.rollback_idle)
         callers = _listen(listen.callers)
         await _spawn(accept_connections, callers, self._serve_caller)
@@ -328,6 +349,7 @@
             self._book.find_connection_limit,
             self._has_use,
         )
+        await self._local.abort_disallowed()
         plan = self._state.plan
         if plan is not None:
             rest = plan.idle_seconds + _LEFT_SECONDS
@@ -335,10 +357,15 @@
 
     def _has_use(self, entry: TargetEntry) -> bool:
         """Tell whether resting connections to a target will be used."""
+        if not self._may_send(entry):
+            return False
         asked_at = self._local.find_last_request_time(entry.ident)
         is_asked = read_clock() - asked_at < _STAND_IN_SECONDS
         return is_asked or self._book.is_gateway(entry)
 
+    def _may_send(self, entry: TargetEntry) -> bool:
+        return self._state.may_send(entry, read_clock())
+
     async def _serve_caller(
         self, client: socket.socket, _address: tuple
     ) -> None:
@@ -365,6 +392,7 @@
             'most_callers': float(self._most_callers),
             'plan_age_seconds': self._state.find_plan_age(read_clock()),
             'store_era': float(self._state.store_era.current),
+            'zones_evacuated': float(len(self._state.evacuations.evacuated)),
             'log_lines_left_out': float(self._log.left_out),
         }
         return _OK, self._counters.format(gauges)
--- a/comfreystair/peers/comfreystair.thrift
+++ b/comfreystair/peers/comfreystair.thrift
@@ -150,13 +150,24 @@
     2: double age_seconds
 }
 
+// What is known of the evacuation of a zone; the revision is 0 where there is
+// no such key.
+struct EvacuationProof {
+    1: string zone,
+    2: i64 era,
+    3: i64 revision,
+    4: bool is_requested,
+    5: double age_seconds
+}
+
 struct Proof {
     1: i64 plan_revision,
     2: double plan_age_seconds,
     3: list<GroupProof> groups,
     4: double store_age_seconds,
     5: i64 plan_version,
-    6: i64 era
+    6: i64 era,
+    7: list<EvacuationProof> evacuations
 }
 
 struct GroupInquiry {
--- a/comfreystair/platform/documents.py
+++ b/comfreystair/platform/documents.py
@@ -21,6 +21,8 @@
 
 PLAN_KEY: Final = 'op/config'
 TARGETS_PREFIX: Final = 'servers/'
+# Followed by the name of an availability zone.
+EVACUATIONS_PREFIX: Final = 'op/evacuate/'
 
 _MILLISECONDS: Final = 1000
 _CONSISTENCIES: Final = {  # noqa: WPS407
@@ -137,6 +139,19 @@
     )
 
 
+def check_evacuation(item: StoredValue) -> None:
+    """Raise unless a value requests the evacuation of a zone.
+
+    The value has no content: it is an empty table.
+
+    :raises MalformedError: when it is something else.
+    """
+    try:
+        msgspec.json.decode(item.blob, type=dict[str, msgspec.Raw])
+    except Exception as error:
+        raise MalformedError(describe_error(error), 'evacuation') from error
+
+
 def _check_registration(ident: str, read: _Registration) -> None:
     """Raise unless every field has a value that can be used."""
     is_usable = {
--- a/comfreystair/pooling/local_execution.py
+++ b/comfreystair/pooling/local_execution.py
@@ -41,6 +41,7 @@
 _ROLLBACK_TIMEOUT_SECONDS: Final = 0.3
 _MIN_TIMEOUT_SECONDS: Final = 0.01
 _UNKNOWN_TARGET: Final = 'target is unknown to this instance'
+_EVACUATED: Final = 'zone of the target is evacuated'
 
 
 class DeliveryFailure(enum.Enum):
@@ -230,6 +231,10 @@
             # run_pinned() closes the connection after the running statement.
             transaction.is_rollback_requested = True
             return
+        if not transaction.pool.may_send:
+            # The target rolls back when the connection is closed.
+            await self._discard_transaction(handle, transaction)
+            return
         self._transactions.pop(handle)
         try:
             await transaction.pooled.connection.rollback(
@@ -259,6 +264,19 @@
                 )
                 await self.rollback(handle)
 
+    async def abort_disallowed(self) -> None:
+        """Abort transactions at targets to which nothing may be sent any more.
+
+        A statement that is running is left to end.
+        """
+        for handle, transaction in list(self._transactions.items()):
+            if not transaction.is_busy and not transaction.pool.may_send:
+                target = transaction.pool.entry.ident
+                self._log.write(
+                    'transaction_aborted', target=target, why=_EVACUATED
+                )
+                await self._discard_transaction(handle, transaction)
+
     async def _open_transaction(
         self,
         pool: TargetPool,
@@ -274,6 +292,8 @@
             return acquired
         is_kept = False
         try:
+            if not pool.may_send:
+                return build_failed_outcome(DeliveryFailure.full, _EVACUATED)
             await apply_session_values(
                 acquired, request.values, find_remaining_seconds(deadline)
             )
@@ -300,7 +320,7 @@
         """
         semaphore = transaction.pool.semaphore
         deadline = read_clock() + request.timeout_seconds
-        while True:
+        while transaction.pool.may_send:
             remaining = find_remaining_seconds(deadline)
             try:
                 await semaphore.acquire(
@@ -322,6 +342,7 @@
             if not _should_resend(outcome, deadline):
                 return outcome
             await curio.sleep(_RESEND_DELAY_SECONDS)
+        return build_failed_outcome(DeliveryFailure.lost, _EVACUATED)
 
     async def _discard_transaction(
         self, handle: str, transaction: _OpenTransaction
@@ -363,6 +384,8 @@
         return acquired
     is_answered = False
     try:
+        if not pool.may_send:
+            return build_failed_outcome(DeliveryFailure.full, _EVACUATED)
         outcome = await _send(acquired, request, deadline)
         is_answered = outcome.delivery_failure is DeliveryFailure.none
     finally:
--- a/comfreystair/pooling/pool.py
+++ b/comfreystair/pooling/pool.py
@@ -28,6 +28,13 @@
 _MAX_WAIT_SHARE: Final = 0.7
 
 OpenConnection = Callable[[TargetEntry, str, float], Awaitable[Connection]]
+# Tells whether a request may be sent to a target now.
+MaySend = Callable[[TargetEntry], bool]
+
+
+def allow_all(_entry: TargetEntry) -> bool:
+    """Allow requests to any target."""
+    return True
 
 
 class PooledConnection:
@@ -58,7 +65,11 @@
     """Connections to one run of one target's process."""
 
     def __init__(
-        self, entry: TargetEntry, limit: int, open_connection: OpenConnection
+        self,
+        entry: TargetEntry,
+        limit: int,
+        open_connection: OpenConnection,
+        may_send: MaySend = allow_all,
     ) -> None:
         """Initialize without connections.
 
@@ -67,6 +78,7 @@
             organisation, within a number of seconds.
         """
         self._entry = entry
+        self._may_send = may_send
         self._open_connection = open_connection
         self._checkout = CheckoutController(limit)
         self._idle: dict[IdleConnection, PooledConnection] = {}
@@ -85,6 +97,15 @@
         """Return the registration of the target."""
         return self._entry
 
+    @property
+    def may_send(self) -> bool:
+        """Tell whether a request may be sent now.
+
+        It is asked right before, as a request may have waited since its target
+        was chosen.
+        """
+        return self._may_send(self._entry)
+
     @property
     def in_use(self) -> int:
         """Return the number of connections in use."""
--- a/comfreystair/sessions/target_selector.py
+++ b/comfreystair/sessions/target_selector.py
@@ -22,6 +22,9 @@
 # Share of a statement's time that it may wait for a primary to be known:
 # under half, so that the caller can still retry at another instance.
 _MAX_WAIT_SHARE: Final = 0.45
+# A primary in an evacuated zone gets no request that might reach it later than
+# it may: the request can wait this long at a gateway, in seconds.
+_QUEUE_SECONDS: Final = 0.5
 # Callers that are rejected for want of a target come back after at least this
 # long, and spread over this much more.
 _MIN_RETRY_SECONDS: Final = 0.2
@@ -131,11 +134,16 @@
         primary = group.primary_tracker.find_primary(now)
         if primary and not self._is_avoided(primary, group, now):
             return 0
+        known = group.primary_tracker.record.primary
         outage = PrimaryOutage(
             group.unreachable_since,
             group.has_failed_probe,
             group.changing_since,
             self._is_store_reached(),
+            is_evacuated=self._is_evacuated(known),
+            has_successor=any(
+                entry.ident != known for entry in self._list_successors(known)
+            ),
         )
         return estimate_outage(outage, now)
 
@@ -145,9 +153,23 @@
         One that gave no status is left to the monitor, which queries it until
         it answers or is replaced: requests would only wait there.
         """
+        entry = self._state.targets.get(primary)
+        if entry and not self._state.may_send(entry, now + _QUEUE_SECONDS):
+            return True
         health = self._pools.find_health(primary)
         return group.has_failed_probe or health.is_backing_off(now)
 
+    def _is_evacuated(self, ident: str) -> bool:
+        entry = self._state.targets.get(ident)
+        return entry is not None and (
+            self._state.evacuations.is_evacuated(entry.zone)
+        )
+
+    def _list_successors(self, primary: str) -> list[TargetEntry]:
+        """Return the targets of a primary's group that may lead it."""
+        entry = self._state.targets.get(primary)
+        return self._state.list_successors(entry.group) if entry else []
+
     def _select_now(
         self, requirements: TargetRequirements, group: GroupState
     ) -> SelectedTarget | None:
@@ -169,8 +191,11 @@
             target
             for target in self._state.list_targets(requirements.route.group)
             if target.ident not in requirements.tried
+            and not self._state.evacuations.is_evacuated(target.zone)
             and not (target.ident == primary and group.has_failed_probe)
         ]
+        if not entries:
+            return self._select_primary(primary, group, now)
         ident = choose_target(
             self._pools.list_candidates(entries, primary),
             floor,
--- a/comfreystair/sessions/transactions.py
+++ b/comfreystair/sessions/transactions.py
@@ -66,7 +66,12 @@
             read_clock() + route.statement_seconds - RESPONSE_MARGIN_SECONDS
         )
         request = build_request(session, route, organisation, statement)
-        if transaction.pinned is None:
+        pinned = transaction.pinned
+        if pinned and not self._state.may_send(pinned.entry, read_clock()):
+            return build_failed_answer(
+                Failure.aborted, 'zone of the target is evacuated'
+            )
+        if pinned is None:
             answer = await self._begin(session, request, deadline)
             if answer.failure is not None:
                 return answer
--- a/tests/coordination/fakes.py
+++ b/tests/coordination/fakes.py
@@ -3,6 +3,7 @@
 from collections.abc import Awaitable, Callable
 
 from comfreystair.controllers.store_position import StorePosition
+from comfreystair.coordination.evacuations import EvacuationKeys
 from comfreystair.coordination.records import (
     MISSING,
     Committed,
@@ -10,10 +11,14 @@
     Lease,
     StoredValue,
 )
+from comfreystair.coordination.state import FleetState
 from comfreystair.exceptions import ComfreystairError
 from comfreystair.peers import PeerSilentError
 
 
+EVACUATIONS = 'evacuate/'
+
+
 def ignore_era(_era: int, _source: str) -> None:
     """Do nothing with the era of an answer."""
 
@@ -30,6 +35,16 @@
         self.events.append(event)
 
 
+def build_evacuation_keys(state: FleetState) -> EvacuationKeys:
+    """Return the keys of the zones that may be evacuated in a state."""
+
+    def check(item: StoredValue) -> None:
+        if item.blob != b'{}':
+            raise ValueError('not a table')
+
+    return EvacuationKeys(state, EVACUATIONS, check, FakeLog())
+
+
 class FakeStore:
     """In-memory store with revisions and leases, which can lose its writes.
 
--- a/tests/coordination/test_failover.py
+++ b/tests/coordination/test_failover.py
@@ -1,11 +1,16 @@
 """How long a failover waits for instances that do not confirm."""
 
 import unittest
+from unittest import mock
 
 import curio
 import msgspec
 
 from comfreystair.clocks import read_clock
+from comfreystair.controllers.places.evacuation import (
+    Evacuations,
+    ZoneEvacuation,
+)
 from comfreystair.controllers.positions import Position
 from comfreystair.controllers.primary_failover import ReplicationStatus
 from comfreystair.controllers.primary_tracking import (
@@ -14,6 +19,8 @@
     PrimaryRecord,
 )
 from comfreystair.controllers.store_position import StorePosition
+from comfreystair.coordination import failover
+from comfreystair.coordination.exceptions import FailoverError
 from comfreystair.coordination.failover import FailoverCoordinator
 from comfreystair.coordination.failover_notices import FailoverNotices
 from comfreystair.coordination.records import (
@@ -64,9 +71,14 @@
         """Initialise with two replicas."""
         self.promoted = ''
         self.doubtful: frozenset[str] = frozenset()
+        self.received = {'two': END, 'three': END}
+        self.step_downs: list[TargetReport | None] = []
 
-    async def step_down(self, _entry: TargetEntry, _term: int) -> None:
-        """Do not answer."""
+    async def step_down(
+        self, _entry: TargetEntry, _term: int
+    ) -> TargetReport | None:
+        """Give the next prepared report, or no answer."""
+        return self.step_downs.pop(0) if self.step_downs else None
 
     async def query_group(
         self, _group: str, doubtful: frozenset[str]
@@ -74,8 +86,8 @@
         """Return the replicas and record which targets are doubtful."""
         self.doubtful = doubtful
         return [
-            ReplicationStatus(ident, False, 1, END, False)
-            for ident in ('two', 'three')
+            ReplicationStatus(ident, False, 1, received, False)
+            for ident, received in self.received.items()
         ]
 
     async def query_status(self, entry: TargetEntry) -> TargetReport:
@@ -200,6 +212,54 @@
             names.index('change_stopped_all'),
         )
 
+    def evacuate(self, *zones: str) -> None:
+        """Evacuate some zones, as of now."""
+        self.state.evacuations = Evacuations(zones, 5)
+        for zone in zones:
+            request = ZoneEvacuation(StorePosition(1, 9), is_requested=True)
+            self.state.evacuations.update(zone, request, 1, 1)
+
+    def test_no_target_of_an_evacuated_zone_is_promoted(self) -> None:
+        """Guards against a new primary that must not be used."""
+        self.evacuate('este')
+        self.prober.received = {'two': Position(1, 9), 'three': END}
+        self.fail_over()
+        self.assertEqual(self.prober.promoted, 'three')
+
+    def test_evacuation_loses_no_commit(self) -> None:
+        """Guards against promoting a replica that lacks acknowledged commits.
+
+        The old primary runs and only its zone is evacuated, so the failover
+        waits for the replica beyond the usual time for catching up.
+        """
+        self.evacuate('sur')
+        end = Position(1, 9)
+        self.prober.step_downs = [TargetReport(False, 1, end)]
+        self.prober.received = {'one': end, 'two': END, 'three': END}
+        with (
+            mock.patch.object(failover, '_CATCH_UP_TIMEOUTS_SECONDS', (0, 0)),
+            mock.patch.object(failover, 'LEASE_TTL_SECONDS', 1.5),
+            self.assertRaises(FailoverError),
+        ):
+            self.fail_over()
+        self.assertEqual(self.prober.promoted, '')
+
+    def test_busy_old_primary_is_asked_again_for_its_end(self) -> None:
+        """Guards against a promotion before the end of the log is known."""
+        self.evacuate('sur')
+        end = Position(1, 9)
+        report = TargetReport(False, 1, end)
+        self.prober.step_downs = [None, report]
+        self.prober.received = {'one': end, 'two': END, 'three': end}
+        self.fail_over()
+        self.assertEqual(self.prober.promoted, 'three')
+
+    def test_silent_old_primary_is_not_waited_for(self) -> None:
+        """Guards against writes that stop until an evacuation ends."""
+        self.evacuate('sur')
+        self.fail_over()
+        self.assertIn(self.prober.promoted, {'two', 'three'})
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/tests/coordination/test_heartbeat.py
+++ b/tests/coordination/test_heartbeat.py
@@ -15,7 +15,12 @@
 )
 from comfreystair.coordination.state import FleetState
 from comfreystair.exceptions import ComfreystairError
-from tests.coordination.fakes import FakeLog, FakePeers, FakeStore
+from tests.coordination.fakes import (
+    FakeLog,
+    FakePeers,
+    FakeStore,
+    build_evacuation_keys,
+)
 
 OWN = InstanceRecord('a', 'lima-a', 'a:1', 'a-1')
 KEY = f'{INSTANCES_PREFIX}a'
@@ -31,11 +36,17 @@
         self.store = FakeStore(state.store_era.observe)
         log = FakeLog()
         plans = PlanCache(state, lambda _item: None, log)
+        keys = build_evacuation_keys(state)
         exchange = ProofExchange(
-            state, plans, FakePeers(), lambda: self.store.read('plan'), log
+            state,
+            plans,
+            FakePeers(),
+            lambda: self.store.read('plan'),
+            keys,
+            log,
         )
         self.heartbeat = Heartbeat(
-            state, self.store, 'plan', plans, exchange, log
+            state, self.store, 'plan', plans, exchange, keys, log
         )
 
 
--- a/tests/coordination/test_primary_monitor.py
+++ b/tests/coordination/test_primary_monitor.py
@@ -5,6 +5,12 @@
 import curio
 
 from comfreystair.clocks import read_clock
+from comfreystair.controllers.places.evacuation import (
+    Evacuations,
+    ZoneEvacuation,
+)
+from comfreystair.controllers.positions import ORIGIN
+from comfreystair.controllers.primary_failover import ReplicationStatus
 from comfreystair.controllers.primary_tracking import PrimaryRecord
 from comfreystair.controllers.store_position import StorePosition
 from comfreystair.coordination.primary_monitor import PrimaryMonitor
@@ -35,6 +41,7 @@
         self.reported: list[str] = []
         self.silent: set[str] = set()
         self.probed = Probe(True, TargetReport(True, 1, None))
+        self.answering: tuple[str, ...] = ()
 
     async def fail_over(self, name: str, reason: str, is_planned: bool) -> None:
         """Record a failover."""
@@ -46,6 +53,13 @@
             await curio.sleep(float(RUN_SECONDS))
         return self.probed
 
+    async def query_group(self, _group: str) -> list[ReplicationStatus]:
+        """Return a status of each target that answers."""
+        return [
+            ReplicationStatus(ident, False, 1, ORIGIN, False)
+            for ident in self.answering
+        ]
+
     async def is_widely_unreachable(self, _group: str) -> bool:
         """Report that no other instance reaches the primary."""
         return True
@@ -169,6 +183,28 @@
         )
         self.assertEqual(self.run_monitor()[0][1], 'primary is gone')
 
+    def evacuate(self, *answering: str) -> None:
+        """Evacuate the primary's zone beside a replica in another one."""
+        self.state.targets['two'] = build_entry('two', zone='lima-b')
+        self.state.evacuations = Evacuations(['lima-a'], 5)
+        request = ZoneEvacuation(StorePosition(1, 9), is_requested=True)
+        self.state.evacuations.update('lima-a', request, 1, 1)
+        self.fakes.answering = answering
+        self.run_monitor()
+
+    def test_evacuated_primary_is_replaced_as_planned(self) -> None:
+        """Guards against a primary that is used after the evacuation."""
+        self.evacuate('two')
+        self.assertEqual(
+            self.fakes.failovers[0],
+            ('permits', "primary's zone is evacuated", True),
+        )
+
+    def test_evacuated_primary_without_successor_is_left(self) -> None:
+        """Guards against stopping a primary that nobody can follow."""
+        self.evacuate('one')
+        self.assertEqual(self.fakes.failovers, [])
+
     async def _run_monitor(self) -> None:
         fakes = self.fakes
         monitor = PrimaryMonitor(
--- a/tests/coordination/test_proofs.py
+++ b/tests/coordination/test_proofs.py
@@ -16,7 +16,11 @@
 )
 from comfreystair.coordination.state import FleetState
 from comfreystair.manifest.serving import build_plan
-from tests.coordination.fakes import FakeLog, FakePeers
+from tests.coordination.fakes import (
+    FakeLog,
+    FakePeers,
+    build_evacuation_keys,
+)
 
 RECORDS = {
     name: InstanceRecord(name, 'lima-a', f'{name}:1', f'{name}-1')
@@ -43,7 +47,12 @@
         self.state.instances = dict(RECORDS)
         self.plans = PlanCache(self.state, parse, FakeLog())
         self.exchange = ProofExchange(
-            self.state, self.plans, peers, self.fetch, FakeLog()
+            self.state,
+            self.plans,
+            peers,
+            self.fetch,
+            build_evacuation_keys(self.state),
+            FakeLog(),
         )
         address = RECORDS[name].address
         peers.serve(address, 'proof', self.exchange.handle_request)
--- a/tests/coordination/test_service_discovery.py
+++ b/tests/coordination/test_service_discovery.py
@@ -17,7 +17,12 @@
 from comfreystair.coordination.service_discovery import ServiceDiscovery
 from comfreystair.coordination.state import FleetState
 from comfreystair.pooling.targets import TargetEntry
-from tests.coordination.fakes import FakeLog, FakePeers, FakeStore
+from tests.coordination.fakes import (
+    FakeLog,
+    FakePeers,
+    FakeStore,
+    build_evacuation_keys,
+)
 
 PREFIX = 'targets/'
 NAMES = ('a', 'b', 'c')
@@ -51,7 +56,12 @@
         log = FakeLog()
         plans = PlanCache(self.state, lambda _item: None, log)
         exchange = ProofExchange(
-            self.state, plans, peers, lambda: store.read('plan'), log
+            self.state,
+            plans,
+            peers,
+            lambda: store.read('plan'),
+            build_evacuation_keys(self.state),
+            log,
         )
         self.discovery = ServiceDiscovery(
             self.state, store, PREFIX, parse_target, exchange, peers, log
--- a/tests/gateways/fleet.py
+++ b/tests/gateways/fleet.py
@@ -123,9 +123,14 @@
         self.locals: dict[str, LocalExecutor] = {}
         self.selectors: dict[str, GatewaySelector] = {}
         self.states: dict[str, FleetState] = {}
+        self.is_evacuated = False
         for name in self.records:
             self._add(name, target)
 
+    def evacuate(self) -> None:
+        """Let no more requests go to the target."""
+        self.is_evacuated = True
+
     async def update(self) -> None:
         """Update every instance with the list of targets."""
         for name, board in self._boards.items():
@@ -144,7 +149,9 @@
         state.instances = self.records
         state.plan = build_plan(1, (), (), {GROUP: CONNECTIONS}, 3)
         log = FakeLog()
-        board = PoolManager('lima-a', target.open)
+        board = PoolManager(
+            'lima-a', target.open, lambda _entry: not self.is_evacuated
+        )
         local = LocalExecutor(board, log)
         selector = GatewaySelector(state, self.peers)
         for method, served in (
--- a/tests/gateways/test_client.py
+++ b/tests/gateways/test_client.py
@@ -173,6 +173,33 @@
         self.assertEqual(self.run_async(call), 0)
         self.assertEqual(self.target.connections, 0)
 
+    def test_evacuated_target_gets_nothing_more(self) -> None:
+        """Guards against statements that wait or go on past the bound.
+
+        The caller's instance chose the target before the bound.
+        """
+
+        async def call():
+            pinned = await self._begin()
+            self.fleet.evacuate()
+            single = await self.client.run(ENTRY, build_request(ORGANISATION))
+            begun, _pinned = await self.client.begin(
+                ENTRY, build_request(ORGANISATION, StatementKind.begin), False
+            )
+            later = await self.client.run_pinned(
+                pinned, build_request(ORGANISATION, StatementKind.commit)
+            )
+            await self.fleet.locals[self.gateway.name].abort_disallowed()
+            return single, begun, later
+
+        outcomes = self.run_async(call)
+        self.assertEqual([one.is_sent for one in outcomes], [False] * 3)
+        self.assertIs(outcomes[0].delivery_failure, DeliveryFailure.full)
+        self.assertIs(outcomes[2].delivery_failure, DeliveryFailure.lost)
+        self.assertEqual(self.target.statements, ['begin'])
+        local = self.fleet.locals[self.gateway.name]
+        self.assertEqual(local.active_count, 0)
+
     async def _begin(self) -> PinnedTransaction:
         request = build_request(ORGANISATION, StatementKind.begin)
         _outcome, pinned = await self.client.begin(
--- a/tests/sessions/test_lost_primary.py
+++ b/tests/sessions/test_lost_primary.py
@@ -12,6 +12,10 @@
 import curio
 
 from comfreystair.clocks import read_clock
+from comfreystair.controllers.places.evacuation import (
+    Evacuations,
+    ZoneEvacuation,
+)
 from comfreystair.controllers.positions import Position
 from comfreystair.controllers.primary_tracking import PrimaryRecord
 from comfreystair.controllers.store_position import StorePosition
@@ -204,6 +208,42 @@
         self.assertEqual({one.failure for one in answers}, {None})
         self.assertEqual(set(self.attempts.targets), {'two', 'three'})
 
+    def evacuate(self, *zones: str, free_for: float) -> None:
+        """Evacuate zones that were free until some seconds ago."""
+        now = read_clock()
+        evacuations = Evacuations(zones, 5)
+        request = ZoneEvacuation(StorePosition(1, 9), is_requested=True)
+        for zone in zones:
+            evacuations.update(zone, ZoneEvacuation(), now - free_for, now)
+            evacuations.update(zone, request, now, now)
+        self.state.evacuations = evacuations
+
+    def test_evacuated_zone_gets_no_reads(self) -> None:
+        """Guards against reads that stay in an evacuated zone."""
+        self.state.targets['three'] = self.state.targets['three']._replace(
+            zone='y'
+        )
+        self.evacuate('z', free_for=0)
+        answers = self.execute_all(Consistency.bounded, READ)
+        self.assertEqual({one.failure for one in answers}, {None})
+        self.assertEqual(set(self.attempts.targets), {'three'})
+
+    def test_evacuated_primary_serves_until_it_is_replaced(self) -> None:
+        """Guards against writes refused before a failover has begun."""
+        self.evacuate('z', free_for=0)
+        answers = self.execute_all(Consistency.primary, WRITE)
+        self.assertEqual({one.failure for one in answers}, {None})
+
+    def test_evacuation_of_all_zones_rejects_at_once(self) -> None:
+        """Guards against requests that wait for a target until a deadline.
+
+        No target may lead the group or run a read.
+        """
+        self.evacuate('z', free_for=5)
+        for statement in (WRITE, READ, BEGIN):
+            answers = self.execute_all(Consistency.bounded, statement)
+            self.assert_rejected(answers, 4)
+
     def test_primary_that_answers_again_is_used(self) -> None:
         """The status query ends the rejections."""
         self.lose_primary()
--- a/tests/specs/test_specs.py
+++ b/tests/specs/test_specs.py
@@ -5,10 +5,15 @@
 
 from minicheck import Protocol, check_safety
 
+from comfreystair.controllers.places.evacuation import (
+    Evacuations,
+    ZoneEvacuation,
+)
 from comfreystair.controllers.primary_tracking import PrimaryTracker
 from comfreystair.controllers.replica_logs import find_durable_end
 from specs import (
     contacts,
+    evacuation,
     failover,
     manifest,
     reads,
@@ -20,6 +25,29 @@
 MUTANT_STATES = 200000
 
 
+class HastyEvacuations(Evacuations):
+    """Dates each answer back to when its read was sent."""
+
+    def update(
+        self,
+        zone: str,
+        found: ZoneEvacuation,
+        asked_at: float,
+        now: float,
+    ) -> bool:
+        return super().update(zone, found, asked_at, asked_at)
+
+
+class LateEvacuations(Evacuations):
+    """Counts the bound from when the evacuation became known."""
+
+    def may_send(self, zone: str, now: float) -> bool:
+        state = self._states[zone]
+        if not state.known.is_requested:
+            return True
+        return now < state.learned_at + self._send_seconds
+
+
 class SpecificationTest(unittest.TestCase):
     """Every specification is checked to its last state."""
 
@@ -45,6 +73,20 @@
         explored = self.check(protocol, MUTANT_STATES)
         self.assertIs(explored['properties'][invariant]['holds'], False)
 
+    def test_evacuation_holds(self) -> None:
+        """Crossed answers end no evacuation; its bound is kept."""
+        self.assert_holds(evacuation.build())
+
+    def test_evacuation_needs_a_later_read_to_end(self) -> None:
+        """An answer that was sent before the news came ends it too early."""
+        self.assert_refuted(
+            evacuation.build(HastyEvacuations), 'stays_evacuated'
+        )
+
+    def test_evacuation_bound_counts_from_absence(self) -> None:
+        """Counted from the news, the use goes on for too long."""
+        self.assert_refuted(evacuation.build(LateEvacuations), 'keeps_bound')
+
     def test_failover_holds(self) -> None:
         """Acknowledged writes survive any two promoters."""
         self.assert_holds(failover.build())
