Read AllowRegions of routes and organisations

Operators restrict routes and organisations to regions. The plan's lists were left out when it was decoded, so nothing could apply them.

--- a/comfreystair/manifest/serving.py
+++ b/comfreystair/manifest/serving.py
@@ -23,6 +23,8 @@
     :param aim_seconds: target for the latency of a whole operation.
     :param priority: 0 goes first.
     :param is_open: callers without a key may use it.
+    :param allowed_regions: its requests may only reach targets in these
+        regions; any if empty.
     """
 
     database: str
@@ -33,6 +35,7 @@
     aim_seconds: float
     priority: int
     is_open: bool
+    allowed_regions: frozenset[str] = frozenset()
 
 
 class Client(NamedTuple):
@@ -40,12 +43,15 @@
 
     :param rate: operations a second.
     :param burst: operations that may come at once.
+    :param allowed_regions: its requests may only reach targets in these
+        regions; any if empty.
     """
 
     name: str
     keys: tuple[str, ...]
     rate: float
     burst: float
+    allowed_regions: frozenset[str] = frozenset()
 
 
 class ServingPlan(NamedTuple):
@@ -91,3 +97,9 @@
         {key: client.name for client in listed for key in client.keys},
         sync_replicas or {},
     )
+
+
+def find_client(plan: ServingPlan | None, key: str) -> Client | None:
+    """Return the organisation that holds a key, if any."""
+    owner = plan.owners.get(key) if plan else None
+    return None if owner is None else plan.clients[owner]
--- a/comfreystair/platform/documents.py
+++ b/comfreystair/platform/documents.py
@@ -49,6 +49,7 @@
     prio: int = 1
     max_stale_ms: float = 0
     public: bool = False
+    allow_regions: list[str] | None = None
 
 
 class _Service(msgspec.Struct, rename='pascal'):
@@ -62,6 +63,7 @@
     api_keys: list[str] = []
     rate_per_s: float = 0
     burst: float = 0
+    allow_regions: list[str] | None = None
 
 
 class _Limits(msgspec.Struct, rename='pascal'):
@@ -101,10 +103,7 @@
     return build_plan(
         plan.version,
         (_convert_route(route) for route in plan.routes),
-        (
-            Client(one.name, tuple(one.api_keys), one.rate_per_s, one.burst)
-            for one in plan.tenants
-        ),
+        (_convert_tenant(tenant) for tenant in plan.tenants),
         {service.name: service.max_conns for service in plan.services},
         plan.limits.tx_idle_ms / _MILLISECONDS,
         {service.name: service.sync_replicas for service in plan.services},
@@ -184,4 +183,15 @@
         route.target_latency_ms / _MILLISECONDS,
         route.prio,
         route.public,
+        frozenset(route.allow_regions or ()),
+    )
+
+
+def _convert_tenant(tenant: _Tenant) -> Client:
+    return Client(
+        tenant.name,
+        tuple(tenant.api_keys),
+        tenant.rate_per_s,
+        tenant.burst,
+        frozenset(tenant.allow_regions or ()),
     )
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -91,6 +91,41 @@
             self.assertFalse(decode_items(items, parse_target).values, ident)
 
 
+class AllowedRegionsTest(unittest.TestCase):
+    """The list ``AllowRegions`` of routes and organisations."""
+
+    def parse(self, listed: dict) -> tuple[frozenset, frozenset]:
+        """Return the regions of a route and of an organisation."""
+        plan = {
+            'Version': 1,
+            'Routes': [{'Host': 'h', 'Service': 's', **listed}],
+            'Services': [{'Name': 's'}],
+            'Tenants': [{'Name': 't', 'ApiKeys': ['k'], **listed}],
+        }
+        parsed = parse_plan(store(json.dumps(plan).encode()))
+        return (
+            parsed.routes['h'].allowed_regions,
+            parsed.clients['t'].allowed_regions,
+        )
+
+    def test_lists_are_read(self) -> None:
+        """Guards against a list that is ignored."""
+        regions = frozenset(('norte', 'sur'))
+        listed = {'AllowRegions': ['norte', 'sur', 'norte']}
+        self.assertEqual(self.parse(listed), (regions, regions))
+
+    def test_missing_null_and_empty_allow_any_region(self) -> None:
+        """Guards against requests that are rejected without a list."""
+        for listed in ({}, {'AllowRegions': None}, {'AllowRegions': []}):
+            self.assertEqual(self.parse(listed), (frozenset(), frozenset()))
+
+    def test_other_values_refuse_the_plan(self) -> None:
+        """Guards against a restriction that is lost by a wrong type."""
+        for odd in ('norte', [1], {'norte': 1}):
+            with self.assertRaises(MalformedError):
+                self.parse({'AllowRegions': odd})
+
+
 class RecordTest(unittest.TestCase):
     """Records and the plan, which nobody else should write."""
 
