Prefer successors in regions that all routes of the group allow

A failover between equally advanced logs chose by id and could move a primary out of the only region that a route allows, which shuts out its writes until the next failover.

FleetState knows the region of each zone and lists the targets in regions that all routes of a group allow. Both choices of a successor prefer them if the logs are equal, before any target but the old primary. Nothing is preferred where no route lists regions.

Seen: the new tests fail with the preference removed, or with the routes of other groups counted.

--- a/comfreystair/controllers/primary_failover.py
+++ b/comfreystair/controllers/primary_failover.py
@@ -1,6 +1,6 @@
 """Decide which target becomes the primary of its group."""
 
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 from typing import Final, NamedTuple
 
 from comfreystair.controllers.positions import ORIGIN, Position
@@ -85,14 +85,20 @@
 
 
 def choose_successor(
-    statuses: Iterable[ReplicationStatus], old_primary: str, refused: set[str]
+    statuses: Iterable[ReplicationStatus],
+    old_primary: str,
+    refused: set[str],
+    preferred: Container[str] = (),
 ) -> ReplicationStatus | None:
     """Return the target with the most advanced log, if any can be promoted.
 
-    Targets that are leaving are not considered. A target other than the old
-    primary wins a tie.
+    Targets that are leaving are not considered. In a tie a preferred target
+    wins, then a target other than the old primary.
 
     :param refused: ids of targets that could not be promoted.
+    :param preferred: ids of targets in regions that all routes of the group
+        allow, the old primary included: in another region its successor could
+        not serve the restricted routes.
     """
     return max(
         (
@@ -102,6 +108,7 @@
         ),
         key=lambda status: (
             status.received,
+            status.ident in preferred,
             status.ident != old_primary,
             status.ident,
         ),
@@ -114,6 +121,7 @@
     old_primary: str,
     refused: set[str],
     durable_end: Position,
+    preferred: Container[str] = (),
 ) -> ReplicationStatus | None:
     """Return the best target whose log holds all acknowledged commits, if any.
 
@@ -122,6 +130,7 @@
 
     :param refused: ids of targets that could not be promoted.
     :param durable_end: position up to which a log holds these commits.
+    :param preferred: as in :func:`choose_successor`.
     """
     return max(
         (
@@ -132,6 +141,7 @@
         key=lambda status: (
             not status.is_leaving,
             status.received,
+            status.ident in preferred,
             status.ident != old_primary,
             status.ident,
         ),
--- a/comfreystair/coordination/failover.py
+++ b/comfreystair/coordination/failover.py
@@ -504,15 +504,18 @@
         failed_targets: set[str],
     ) -> ReplicationStatus | None:
         old_primary = failover.old_record.primary
+        preferred = self._state.list_home_targets(failover.group)
         if not self._state.find_sync_replicas(failover.group):
-            return choose_successor(statuses, old_primary, failed_targets)
+            return choose_successor(
+                statuses, old_primary, failed_targets, preferred
+            )
         durable_end = self._durable_ends.find(
             failover.group, old_primary, failover.log_end, statuses
         )
         if durable_end is None:
             return None
         return choose_durable_successor(
-            statuses, old_primary, failed_targets, durable_end
+            statuses, old_primary, failed_targets, durable_end, preferred
         )
 
     async def _find_log_end(
--- a/comfreystair/coordination/state.py
+++ b/comfreystair/coordination/state.py
@@ -1,11 +1,13 @@
 """This instance's view of the fleet."""
 
 import sys
+from collections.abc import Mapping
 from typing import Final
 
 import curio
 
 from comfreystair.clocks import read_clock
+from comfreystair.controllers.places.homes import combine_regions, is_allowed
 from comfreystair.controllers.primary_tracking import (
     PrimaryRecord,
     PrimaryTracker,
@@ -118,11 +120,17 @@
         after they are no longer listed.
     :ivar keepers: keepers of the rate limits, by availability zone.
     :ivar is_draining: this instance is shutting down.
+    :ivar zone_regions: the region of each availability zone, by the settings.
     """
 
-    def __init__(self, own: InstanceRecord) -> None:
+    def __init__(
+        self,
+        own: InstanceRecord,
+        zone_regions: Mapping[str, str] | None = None,
+    ) -> None:
         """Initialise a fleet that consists of this instance alone."""
         self.own = own
+        self.zone_regions: Mapping[str, str] = zone_regions or {}
         self.store_era = StoreEra()
         self.plan: ServingPlan | None = None
         self.plan_proved_at = float('-inf')
@@ -182,6 +190,24 @@
         """Return a group's targets."""
         return [one for one in self.targets.values() if one.group == group]
 
+    def list_home_targets(self, group: str) -> frozenset[str]:
+        """Return the ids of a group's targets in regions that all routes allow.
+
+        Only the routes of the group count. If none of them lists regions, no
+        target is returned, as none is to be preferred.
+        """
+        routes = self.plan.routes.values() if self.plan else ()
+        allowed = combine_regions(
+            route.allowed_regions for route in routes if route.group == group
+        )
+        if allowed is None:
+            return frozenset()
+        return frozenset(
+            entry.ident
+            for entry in self.list_targets(group)
+            if is_allowed(entry.zone, allowed, self.zone_regions)
+        )
+
     def find_plan_age(self, now: float) -> float:
         """Return the seconds since the plan was last proved the newest."""
         return now - self.plan_proved_at
--- a/tests/controllers/test_primary_failover.py
+++ b/tests/controllers/test_primary_failover.py
@@ -5,6 +5,7 @@
 from comfreystair.controllers.positions import Position
 from comfreystair.controllers.primary_failover import (
     ReplicationStatus,
+    choose_durable_successor,
     choose_successor,
     find_other_primary,
     has_caught_up,
@@ -44,6 +45,26 @@
         statuses = [build_status('a', 9, is_leaving=True), build_status('b', 8)]
         self.assertIsNone(choose_successor(statuses, 'old', {'b'}))
 
+    def test_preferred_target_wins_a_tie_only(self) -> None:
+        """Guards against a primary elsewhere, and against lost commits."""
+        end = Position(3, 9)
+        tie = [build_status('a', 9), build_status('b', 9)]
+        behind = [build_status('a', 8), build_status('b', 9)]
+        back = [build_status('old', 9), build_status('b', 9)]
+        for preferred, statuses, expected in (
+            ({'a'}, tie, 'a'),
+            ({'a'}, behind, 'b'),
+            ({'old'}, back, 'old'),
+            ((), tie, 'b'),
+        ):
+            for chosen in (
+                choose_successor(statuses, 'old', set(), preferred),
+                choose_durable_successor(
+                    statuses, 'old', set(), end, preferred
+                ),
+            ):
+                self.assertEqual(chosen.ident, expected)
+
     def test_primary_restarted_under_another_id(self) -> None:
         """It is primary in the same term; no promotion begins a later one."""
         statuses = [
--- a/tests/coordination/test_failover.py
+++ b/tests/coordination/test_failover.py
@@ -24,6 +24,11 @@
     encode_record,
 )
 from comfreystair.coordination.state import FleetState
+from comfreystair.manifest.serving import (
+    Consistency,
+    ServingRoute,
+    build_plan,
+)
 from comfreystair.pooling.targets import TargetEntry, TargetReport
 from tests.coordination.fakes import FakePeers, FakeStore
 
@@ -191,6 +196,28 @@
         self.fail_over(build_instance('a', 'este'))
         self.assertEqual(self.prober.doubtful, {'one', 'two'})
 
+    def test_successor_is_in_a_region_that_all_routes_allow(self) -> None:
+        """Guards against writes that a failover shuts out of their region."""
+        route = ServingRoute('d', GROUP, Consistency.primary, 0, 1, 1, 1, False)
+        routes = [
+            route._replace(database=name, allowed_regions=frozenset(regions))
+            for name, regions in (('a', ()), ('b', 'xy'), ('c', 'yz'))
+        ]
+        # The list of another group's route does not count.
+        routes.append(
+            route._replace(group='other', allowed_regions=frozenset('x'))
+        )
+        for zones, successor in (
+            ({'este': 'x', 'norte': 'y'}, 'three'),
+            ({'norte': 'y'}, 'three'),
+            ({'este': 'y', 'norte': 'x'}, 'two'),
+        ):
+            self.setUp()
+            self.state.plan = build_plan(1, routes, (), {}, 3)
+            self.state.zone_regions = zones
+            self.fail_over()
+            self.assertEqual(self.prober.promoted, successor)
+
     def test_demotion_does_not_wait(self) -> None:
         """A primary in a silent zone takes a while not to answer."""
         self.fail_over(build_instance('a', 'sur'))
