Log regions of the plan that the settings do not contain

An unknown region allows no target, so a misspelt one rejects all requests of a route or organisation.

The event regions_unknown names each such list when a plan takes effect.

--- a/comfreystair/coordination/plan_cache.py
+++ b/comfreystair/coordination/plan_cache.py
@@ -129,6 +129,27 @@
             source=source,
             asked_at=asked_at,
         )
+        self._log_unknown_regions(plan)
+
+    def _log_unknown_regions(self, plan: ServingPlan) -> None:
+        """Log the lists with regions in which the settings have no zone.
+
+        No target is allowed by such a region.
+        """
+        known = frozenset(self._state.zone_regions.values())
+        for kind, listed in (
+            ('route', plan.routes),
+            ('organisation', plan.clients),
+        ):
+            for name, one in listed.items():
+                unknown = one.allowed_regions - known
+                if unknown:
+                    self._log.write(
+                        'regions_unknown',
+                        kind=kind,
+                        name=name,
+                        regions=','.join(sorted(unknown)),
+                    )
 
 
 def _get_position(stored: StoredValue) -> StorePosition:
--- a/tests/coordination/test_plan_cache.py
+++ b/tests/coordination/test_plan_cache.py
@@ -6,7 +6,12 @@
 from comfreystair.coordination.plan_cache import PlanCache
 from comfreystair.coordination.records import InstanceRecord, StoredValue
 from comfreystair.coordination.state import FleetState
-from comfreystair.manifest.serving import build_plan
+from comfreystair.manifest.serving import (
+    Client,
+    Consistency,
+    ServingRoute,
+    build_plan,
+)
 from tests.coordination.fakes import FakeLog
 
 NEVER = float('-inf')
@@ -30,6 +35,39 @@
         )
         self.plans.update(store(11, 1, 41), 100, 'store')
 
+    # Guards against: a misspelt region rejects requests and nothing says why.
+    def test_unknown_regions_are_logged(self) -> None:
+        """One event for each list, once when the plan takes effect."""
+        route = ServingRoute(
+            'd',
+            'g',
+            Consistency.primary,
+            0,
+            1,
+            1,
+            1,
+            False,
+            frozenset(('sru',)),
+        )
+        clients = [
+            Client(name, (), 1, 1, frozenset(regions))
+            for name, regions in (
+                ('a', ('sur',)),
+                ('b', ('sur', 'x')),
+                ('c', ()),
+            )
+        ]
+        log = FakeLog()
+        self.state.zone_regions = {'sur-a': 'sur'}
+        plans = PlanCache(
+            self.state,
+            lambda _item: build_plan(12, [route], clients, {}, 3),
+            log,
+        )
+        for revision in (42, 43):
+            plans.update(store(12, 1, revision), 200, 'store')
+        self.assertEqual(log.events.count('regions_unknown'), 2)
+
     # Guards against: the operators' newest version is never confirmed again,
     # because it has a lower revision in the restored store.
     def test_known_version_is_proved_at_lower_revision(self) -> None:
