Rank gateways anew when a target moves to another zone

The ranking was kept by the id of the target until the list of instances changed. A target registered again under its id in another zone would for that time have had gateways of its old zone, which may be in a region that a request must not reach.

Rankings are kept by target and zone. The new test also shows that gateways are in the zone of the target, or else this instance; it fails with the old key.

--- a/comfreystair/gateways/selector.py
+++ b/comfreystair/gateways/selector.py
@@ -46,7 +46,8 @@
         """
         self._state = state
         self._peers = peers
-        self._rankings: dict[str, _Ranking] = {}
+        # By target and zone: a target that is registered again may have moved.
+        self._rankings: dict[tuple[str, str], _Ranking] = {}
         self._unavailable: dict[str, float] = {}
         self._target_unreachable: dict[tuple[str, str], float] = {}
 
@@ -123,7 +124,7 @@
 
     def _rank_instances(self, entry: TargetEntry) -> list[str]:
         instances = self._state.instances
-        ranking = self._rankings.get(entry.ident)
+        ranking = self._rankings.get((entry.ident, entry.zone))
         if ranking is None or ranking.source is not instances:
             names = [
                 instance.name
@@ -133,5 +134,5 @@
             ranking = _Ranking(
                 instances, rank_by_rendezvous_hash(entry.ident, names)
             )
-            self._rankings[entry.ident] = ranking
+            self._rankings[(entry.ident, entry.zone)] = ranking
         return ranking.names
--- a/tests/gateways/test_client.py
+++ b/tests/gateways/test_client.py
@@ -3,6 +3,7 @@
 import unittest
 
 import curio
+import msgspec
 
 from comfreystair.gateways import PinnedTransaction
 from comfreystair.pooling.local_execution import DeliveryFailure
@@ -173,6 +174,26 @@
         self.assertEqual(self.run_async(call), 0)
         self.assertEqual(self.target.connections, 0)
 
+    def test_statements_stay_in_the_zone_of_the_target(self) -> None:
+        """Guards against a gateway outside the regions that are allowed.
+
+        The target moves and keeps its id.
+        """
+        selector = self.fleet.selectors[self.caller]
+        state = self.fleet.states[self.caller]
+        zones = ('lima-a', 'lima-b')
+        state.instances = {
+            name: msgspec.structs.replace(record, zone=zones[number % 2])
+            for number, (name, record) in enumerate(state.instances.items())
+        }
+        for zone in zones:
+            entry = ENTRY._replace(zone=zone)
+            for number in range(50):
+                gateway = selector.select(entry, f'office-{number}')
+                self.assertEqual(gateway.zone, zone)
+        alone = selector.select(ENTRY._replace(zone='lima-c'), ORGANISATION)
+        self.assertEqual(alone.name, self.caller)
+
     async def _begin(self) -> PinnedTransaction:
         request = build_request(ORGANISATION, StatementKind.begin)
         _outcome, pinned = await self.client.begin(
