Keep requests in the regions that route and organisation allow

Requests of a restricted route or organisation ran at any target.

The selector of targets leaves out targets in other regions and in zones without a region, for reads, the primary and transactions alike, by the lists of the plan in force at each attempt. Without an allowed target, or with the primary elsewhere for a request that needs it, the request is rejected at once as not run, without a token. A lagging replica stays eligible for restricted reads, as it may be the only one at home.

transaction_idle now names its target; it was logged after the pin was removed.

--- a/comfreystair/entry.py
+++ b/comfreystair/entry.py
@@ -27,6 +27,7 @@
 from comfreystair.coordination.jitter import add_jitter
 from comfreystair.coordination.keeper_election import KeeperElection
 from comfreystair.coordination.plan_cache import PlanCache
+from comfreystair.coordination.position_sampler import PositionSampler
 from comfreystair.coordination.primary_monitor import PrimaryMonitor
 from comfreystair.coordination.proofs import ProofExchange
 from comfreystair.coordination.rate_limiter import RateLimiter, TokenKeeper
@@ -119,7 +120,7 @@
             build_incarnation(instance.name, time.time_ns()),
             needs_contact=len(settings.zones) > 1,
         )
-        self._state = FleetState(own)
+        self._state = FleetState(own, settings.zones)
         self._dial = _bound_silence(build_dialer(instance.address))
         era = self._state.store_era
         era.add_listener(self._log_era)
@@ -199,6 +200,13 @@
         )
         self._lost_logs = LostLogSettler(self._state, store, probes, self._log)
         self._board = PoolManager(instance.zone, self._open)
+        self._placement = TargetSelector(
+            self._state,
+            self._board,
+            self._pulse.refresh_now,
+            lambda: self._pulse.is_reached,
+            PositionSampler(self._state, probes).request,
+        )
         self._book = GatewaySelector(self._state, self._peers)
         self._local = LocalExecutor(self._board, self._log)
         self._counters = Counters()
@@ -252,17 +260,11 @@
         admission = RateLimiter(
             self._state, self._peers, tuple(self._settings.zones), self._log
         )
-        placement = TargetSelector(
-            self._state,
-            self._board,
-            self._pulse.refresh_now,
-            lambda: self._pulse.is_reached,
-        )
         relay = GatewayClient(
             self._state.own, self._book, self._local, self._peers, self._log
         )
         attempts = AttemptRunner(self._state, self._board, relay, self._log)
-        parts = (self._state, placement, attempts)
+        parts = (self._state, self._placement, attempts)
         return SessionManager(
             self._state,
             admission,
@@ -366,6 +368,7 @@
             'plan_age_seconds': self._state.find_plan_age(read_clock()),
             'store_era': float(self._state.store_era.current),
             'log_lines_left_out': float(self._log.left_out),
+            'region_rejections_total': float(self._placement.region_rejections),
         }
         return _OK, self._counters.format(gauges)
 
--- a/comfreystair/sessions/attempts.py
+++ b/comfreystair/sessions/attempts.py
@@ -241,13 +241,18 @@
     """Exclude a target that failed; tell whether to try again.
 
     A primary is not excluded: it is retried after a delay, or not at all if it
-    had no free connection. Without a gateway the target is retried at once.
+    had no free connection. Without a gateway the target is retried at once. A
+    lagging replica is not excluded in certain regions only, as it may be the
+    only target there: it is selected again once it has probably caught up.
     """
     if answer is _NO_GATEWAY:
         # Another gateway may serve the same target.
         return True
     if not selected.is_primary:
-        requirements.tried.add(selected.entry.ident)
+        if answer.failure is not Failure.lagging or (
+            not requirements.is_restricted
+        ):
+            requirements.tried.add(selected.entry.ident)
         return True
     if answer.failure is Failure.connection_limit:
         return False
--- a/comfreystair/sessions/execution.py
+++ b/comfreystair/sessions/execution.py
@@ -4,7 +4,11 @@
 
 from comfreystair.clocks import read_clock
 from comfreystair.coordination.state import FleetState
-from comfreystair.manifest.serving import Consistency, ServingRoute
+from comfreystair.manifest.serving import (
+    Consistency,
+    ServingRoute,
+    find_client,
+)
 from comfreystair.observability.decisions import DecisionLog
 from comfreystair.pooling.local_execution import StatementRequest
 from comfreystair.sessions.attempts import (
@@ -27,6 +31,7 @@
     SelectedTarget,
     TargetRequirements,
     TargetSelector,
+    is_restricted,
 )
 
 # Share of a read's time that its first attempt may take; the rest is for
@@ -61,14 +66,18 @@
         statement: Statement,
     ) -> Answer | None:
         """Reject a statement that no target will serve in time."""
-        if not self._target_selector.has_outage(route.group):
+        client = find_client(self._state.plan, session.key)
+        if not (
+            is_restricted(route, client)
+            or self._target_selector.has_outage(route.group)
+        ):
             return None
         request = build_request(session, route, organisation, statement)
-        requirements = _build_requirements(session, route, request)
+        requirements = self._build_requirements(session, route, request)
         deadline = _find_deadline(requirements)
         if not self._target_selector.is_hopeless(requirements, deadline):
             return None
-        return self._target_selector.build_rejection(route.group)
+        return self._target_selector.build_rejection(requirements)
 
     async def run(
         self,
@@ -80,7 +89,7 @@
         """Run a statement, retrying at other targets where that is safe."""
         request = build_request(session, route, organisation, statement)
         is_write = is_writing(request)
-        requirements = _build_requirements(session, route, request)
+        requirements = self._build_requirements(session, route, request)
         share = 1 if is_write else _FIRST_READ_ATTEMPT_SHARE
         answer = None
         for _ in range(MAX_ATTEMPTS):
@@ -96,7 +105,22 @@
             if not await prepare_retry(requirements, selected, answer):
                 break
             share = 1
-        return answer or self._target_selector.build_rejection(route.group)
+        return answer or self._target_selector.build_rejection(requirements)
+
+    def _build_requirements(
+        self, session: Session, route: ServingRoute, request: StatementRequest
+    ) -> TargetRequirements:
+        """Return what a statement that begins now needs of its target."""
+        is_strict = route.consistency is Consistency.primary
+        return TargetRequirements(
+            route,
+            request.organisation,
+            is_strict or is_writing(request),
+            read_clock(),
+            session.floor,
+            set(),
+            find_client(self._state.plan, session.key),
+        )
 
     async def _run_attempt(
         self,
@@ -181,21 +205,6 @@
     return session.prepared.get(statement.prepared_name)
 
 
-def _build_requirements(
-    session: Session, route: ServingRoute, request: StatementRequest
-) -> TargetRequirements:
-    """Return what a statement that begins now needs of its target."""
-    is_strict = route.consistency is Consistency.primary
-    return TargetRequirements(
-        route,
-        request.organisation,
-        is_strict or is_writing(request),
-        read_clock(),
-        session.floor,
-        set(),
-    )
-
-
 def _find_deadline(requirements: TargetRequirements) -> float:
     """Return until when a target must have answered a statement."""
     allowed = requirements.route.statement_seconds - RESPONSE_MARGIN_SECONDS
--- a/comfreystair/sessions/manager.py
+++ b/comfreystair/sessions/manager.py
@@ -147,7 +147,11 @@
             session.transaction = None
 
     async def rollback_idle(self) -> None:
-        """Roll back transactions idle for too long, until cancelled."""
+        """Roll back transactions that may not go on, until cancelled.
+
+        They are idle for too long, or their target is in a region that the
+        plan no longer allows.
+        """
         while True:
             await curio.sleep(_IDLE_CHECK_SECONDS)
             plan = self._state.plan
@@ -188,14 +192,22 @@
             ):
                 continue
             if transaction.used_at < last_used_before:
-                transaction.is_failed = True
-                await self._transactions.rollback(transaction)
-                self._log.write(
-                    'transaction_idle',
-                    database=session.database,
-                    target=transaction.target,
-                    since=transaction.used_at,
-                )
+                await self._rollback_resting(session, 'transaction_idle')
+            elif self._transactions.is_outside(session):
+                await self._rollback_resting(session, 'transaction_outside')
+
+    async def _rollback_resting(self, session: Session, event: str) -> None:
+        """Roll back a transaction between two requests of its caller."""
+        transaction = session.transaction
+        target = transaction.target
+        transaction.is_failed = True
+        await self._transactions.rollback(transaction)
+        self._log.write(
+            event,
+            database=session.database,
+            target=target,
+            since=transaction.used_at,
+        )
 
     async def _run_statement(
         self, session: Session, statement: Statement
--- a/comfreystair/sessions/transactions.py
+++ b/comfreystair/sessions/transactions.py
@@ -3,7 +3,7 @@
 from comfreystair.clocks import read_clock
 from comfreystair.coordination.state import FleetState
 from comfreystair.gateways import GatewayClient
-from comfreystair.manifest.serving import Consistency
+from comfreystair.manifest.serving import Consistency, find_client
 from comfreystair.pooling.local_execution import (
     DeliveryFailure,
     Outcome,
@@ -70,6 +70,11 @@
             answer = await self._begin(session, request, deadline)
             if answer.failure is not None:
                 return answer
+        if self.is_outside(session):
+            return build_failed_answer(
+                Failure.aborted,
+                f'{transaction.target} is not in the allowed regions',
+            )
         if statement.kind is StatementKind.commit and transaction.has_written:
             return await self._commit(session, request, deadline)
         answer = await self._run_pinned(
@@ -79,6 +84,20 @@
             transaction.has_written = True
         return answer
 
+    def is_outside(self, session: Session) -> bool:
+        """Tell whether a session's transaction may not go on at its target.
+
+        A plan that came in force after its begin no longer allows the region.
+        """
+        pinned = session.transaction.pinned
+        if pinned is None:
+            return False
+        return not self._target_selector.is_in_allowed_region(
+            pinned.entry,
+            session.transaction.route,
+            find_client(self._state.plan, session.key),
+        )
+
     async def rollback(self, transaction: Transaction) -> None:
         """Roll back at the target, if the transaction has begun at one."""
         pinned = transaction.pinned
@@ -102,11 +121,12 @@
             transaction.began_at,
             session.floor,
             set(),
+            find_client(self._state.plan, session.key),
         )
         answer = await self._try_targets(
             transaction, requirements, request, deadline
         )
-        return answer or self._target_selector.build_rejection(route.group)
+        return answer or self._target_selector.build_rejection(requirements)
 
     async def _try_targets(
         self,
