--- a/comfreystair/coordination/failover.py
+++ b/comfreystair/coordination/failover.py
@@ -546,15 +546,18 @@
     ) -> ReplicationStatus | None:
         old_primary = failover.old_record.primary
         candidates = self._select_candidates(failover.group, statuses)
+        preferred = self._state.list_home_targets(failover.group)
         if not self._state.find_sync_replicas(failover.group):
-            return choose_successor(candidates, old_primary, failed_targets)
+            return choose_successor(
+                candidates, old_primary, failed_targets, preferred
+            )
         durable_end = self._durable_ends.find(
             failover.group, old_primary, failover.log_end, statuses
         )
         if durable_end is None:
             return None
         return choose_durable_successor(
-            candidates, old_primary, failed_targets, durable_end
+            candidates, old_primary, failed_targets, durable_end, preferred
         )
 
     async def _find_log_end(
--- a/comfreystair/coordination/state.py
+++ b/comfreystair/coordination/state.py
@@ -1,12 +1,14 @@
 """This instance's view of the fleet."""
 
 import sys
+from collections.abc import Mapping
 from typing import Final
 
 import curio
 
 from comfreystair.clocks import read_clock
 from comfreystair.controllers.places.evacuation import Evacuations
+from comfreystair.controllers.places.homes import combine_regions, is_allowed
 from comfreystair.controllers.primary_tracking import (
     PrimaryRecord,
     PrimaryTracker,
@@ -120,11 +122,17 @@
     :ivar keepers: keepers of the rate limits, by availability zone.
     :ivar evacuations: availability zones that operators have evacuated.
     :ivar is_draining: this instance is shutting down.
+    :ivar zone_regions: the region of each availability zone, by the settings.
     """
 
-    def __init__(self, own: InstanceRecord) -> None:
+    def __init__(
+        self,
+        own: InstanceRecord,
+        zone_regions: Mapping[str, str] | None = None,
+    ) -> None:
         """Initialise a fleet that consists of this instance alone."""
         self.own = own
+        self.zone_regions: Mapping[str, str] = zone_regions or {}
         self.store_era = StoreEra()
         self.plan: ServingPlan | None = None
         self.plan_proved_at = float('-inf')
@@ -200,6 +208,24 @@
         """Tell whether a request may be sent to a target."""
         return self.evacuations.may_send(entry.zone, now)
 
+    def list_home_targets(self, group: str) -> frozenset[str]:
+        """Return the ids of a group's targets in regions that all routes allow.
+
+        Only the routes of the group count. If none of them lists regions, no
+        target is returned, as none is to be preferred.
+        """
+        routes = self.plan.routes.values() if self.plan else ()
+        allowed = combine_regions(
+            route.allowed_regions for route in routes if route.group == group
+        )
+        if allowed is None:
+            return frozenset()
+        return frozenset(
+            entry.ident
+            for entry in self.list_targets(group)
+            if is_allowed(entry.zone, allowed, self.zone_regions)
+        )
+
     def find_plan_age(self, now: float) -> float:
         """Return the seconds since the plan was last proved the newest."""
         return now - self.plan_proved_at
