--- a/standins/platform/__main__.py
+++ b/standins/platform/__main__.py
@@ -64,7 +64,7 @@
         entry = {
             'Service': name,
             'Addr': f'127.0.0.1:{self._advertised.get(ident, port)}',
-            'Zone': 'lima-a',
+            'Zone': self._shape['zones'].get(ident, 'lima-a'),
             'Version': 'v1',
             'Slots': 4,
             'State': 'draining' if copy.is_draining else 'ready',
@@ -140,6 +140,8 @@
             self._keyspace.put('op/config', self._plan)
         for key, value in read.get('put', {}).items():
             self._keyspace.put(key, value)
+        for removed in read.get('remove', ()):
+            self._keyspace.remove(removed)
         if 'save' in read:
             self._saved = self._keyspace.copy()
         if 'restore' in read:
--- a/standins/platform/deployment.py
+++ b/standins/platform/deployment.py
@@ -34,12 +34,17 @@
         lag: float = 0.02,
         has_proxy: bool = False,
         limits: dict | None = None,
+        zones: dict[str, str] | None = None,
+        bounds: dict | None = None,
     ) -> None:
         """Choose ports; nothing runs before :meth:`start`.
 
         :param has_proxy: put a fault proxy before the targets and, for each
             instance, before the platform.
         :param limits: of the instances, as in their settings.
+        :param zones: of targets and of instances (``entry-0``) that are not in
+            the first one.
+        :param bounds: of the instances, as in their settings.
         """
         links = [*TARGETS, *(f'store-{one}' for one in range(instances))]
         ports = find_ports(2 + len(links) + len(TARGETS) + 4 * instances)
@@ -57,6 +62,8 @@
         ]
         self._lag = lag
         self._limits = limits or {}
+        self._zones = zones or {}
+        self._bounds = bounds or {}
         self._processes: dict[str, subprocess.Popen] = {}
 
     @property
@@ -74,6 +81,7 @@
                     'groups': {GROUP: self._targets},
                     'lag': self._lag,
                     'advertised': self._links,
+                    'zones': self._zones,
                 }
             )
         )
@@ -97,10 +105,12 @@
                 {
                     'instance': {
                         'name': f'entry-{number}',
-                        'zone': ZONE,
+                        'zone': self.find_zone(f'entry-{number}'),
                         'address': host,
                     },
-                    'zones': {ZONE: 'lima'},
+                    'zones': dict.fromkeys(
+                        (ZONE, *self._zones.values()), 'lima'
+                    ),
                     'listen': {
                         'callers': f'{host}:{callers}',
                         'ready': f'{host}:{ready}',
@@ -110,6 +120,7 @@
                     'store': {'address': f'{host}:{platform}'},
                     'promotion': {'address': f'{host}:{platform}'},
                     'limits': self._limits,
+                    'bounds': self._bounds,
                 }
             )
         )
@@ -119,6 +130,10 @@
             {'COMFREYSTAIR_SETTINGS': str(path)},
         )
 
+    def find_zone(self, name: str) -> str:
+        """Return the zone of a target or of an instance."""
+        return self._zones.get(name, ZONE)
+
     def add_rule(self, rule: dict) -> None:
         """Put a rule of the proxy in force besides the others."""
         with self._lock:
