--- /dev/null
+++ b/comfreystair/controllers/connections/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on connections to targets, and on retries."""
--- /dev/null
+++ b/tests/controllers/connections/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the decisions on connections and retries."""
