Bound the connections of instances that stand in for gateways

While a third of the instances could not reach the others, targets refused 1,470 connections, up to 425 in a second.

In fleets with four or more instances of a zone for each gateway, an instance holds no more than its share, asks other instances of the zone first, and backs off from a target that refused a connection. Requests then use what is open, wait for a connection of their organisation, or are rejected as not run with a time to come back. Other fleets are served as before.

--- a/comfreystair/controllers/checkout.py
+++ b/comfreystair/controllers/checkout.py
@@ -5,6 +5,7 @@
 one that has been idle longest when another organisation needs a new one.
 """
 
+import collections
 import enum
 import itertools
 from typing import NamedTuple
@@ -51,7 +52,7 @@
         """
         self._limit = limit
         self._idle: list[IdleConnection] = []
-        self._in_use = 0
+        self._in_use: collections.Counter[str] = collections.Counter()
         self._numbers = itertools.count()
 
     @property
@@ -62,12 +63,20 @@
     @property
     def total(self) -> int:
         """Return the connections that are idle, in use or being opened."""
-        return self._in_use + len(self._idle)
+        return self.in_use + len(self._idle)
 
     @property
     def in_use(self) -> int:
         """Return the connections that are in use or being opened."""
-        return self._in_use
+        return self._in_use.total()
+
+    def count_in_use(self, organisation: str) -> int:
+        """Return how many connections of an organisation are in use."""
+        return self._in_use[organisation]
+
+    def has_idle(self, organisation: str) -> bool:
+        """Tell whether a connection of an organisation is idle."""
+        return any(one.organisation == organisation for one in self._idle)
 
     def set_limit(self, limit: int) -> list[IdleConnection]:
         """Change the limit and return the idle connections to close."""
@@ -77,18 +86,28 @@
             evicted.append(self._idle.pop(0))
         return evicted
 
-    def decide(self, organisation: str) -> CheckoutDecision:
+    def decide(
+        self, organisation: str, may_open: bool = True
+    ) -> CheckoutDecision:
         """Return how a request gets its connection, and count it as in use.
 
         While the request has to wait, nothing is counted for it.
+
+        :param may_open: otherwise only an idle connection can be used.
         """
         for connection in reversed(self._idle):
             if connection.organisation == organisation:
-                return self._acquire(CheckoutAction.reuse, connection)
+                return self._acquire(
+                    CheckoutAction.reuse, organisation, connection
+                )
+        if not may_open:
+            return CheckoutDecision(CheckoutAction.wait)
         if self.total < self._limit:
-            return self._acquire(CheckoutAction.open, None)
+            return self._acquire(CheckoutAction.open, organisation, None)
         if self._idle:
-            return self._acquire(CheckoutAction.replace, self._idle[0])
+            return self._acquire(
+                CheckoutAction.replace, organisation, self._idle[0]
+            )
         return CheckoutDecision(CheckoutAction.wait)
 
     def release(self, organisation: str) -> IdleConnection | None:
@@ -97,16 +116,18 @@
         :returns: the idle connection; nothing when the connection has to be
             closed because of the limit.
         """
-        self._in_use -= 1
+        self.discard(organisation)
         if self.total >= self._limit:
             return None
         connection = IdleConnection(next(self._numbers), organisation)
         self._idle.append(connection)
         return connection
 
-    def discard(self) -> None:
-        """Count a connection in use as closed."""
-        self._in_use -= 1
+    def discard(self, organisation: str) -> None:
+        """Count a connection of an organisation in use as closed."""
+        self._in_use[organisation] -= 1
+        if not self._in_use[organisation]:
+            self._in_use.pop(organisation)
 
     def remove_idle(self) -> list[IdleConnection]:
         """Return the idle connections and count them as closed.
@@ -118,9 +139,12 @@
         return removed
 
     def _acquire(
-        self, action: CheckoutAction, connection: IdleConnection | None
+        self,
+        action: CheckoutAction,
+        organisation: str,
+        connection: IdleConnection | None,
     ) -> CheckoutDecision:
         if connection is not None:
             self._idle.remove(connection)
-        self._in_use += 1
+        self._in_use[organisation] += 1
         return CheckoutDecision(action, connection)
--- a/comfreystair/gateways/selector.py
+++ b/comfreystair/gateways/selector.py
@@ -1,16 +1,15 @@
 """Select the gateway of a target, skipping gateways that fail."""
 
+import itertools
+from collections.abc import Iterator
 from typing import Final, NamedTuple
 
 from comfreystair.clocks import read_clock
-from comfreystair.controllers.gateways import (
-    choose_gateway,
-    compute_connection_limit,
-    count_gateways,
-)
+from comfreystair.controllers.gateways import choose_gateway, count_gateways
 from comfreystair.controllers.membership import rank_by_rendezvous_hash
 from comfreystair.coordination.records import InstanceRecord
 from comfreystair.coordination.state import FleetState
+from comfreystair.gateways.shares import ConnectionShares
 from comfreystair.peers import PeerClients
 from comfreystair.pooling.targets import TargetEntry
 
@@ -22,6 +21,10 @@
 # A gateway that leaves calls unanswered for this long counts as hung. The time
 # is several times the duration of a target's slowest statements.
 _STALL_SECONDS: Final = 0.4
+# With this many instances avoided at once, in addition to the gateways and
+# their successors, this instance is probably the one that is cut off. Marking
+# more would take longer than they are avoided.
+_MAX_OTHERS_AVOIDED: Final = 2
 
 
 class _Ranking(NamedTuple):
@@ -46,6 +49,7 @@
         """
         self._state = state
         self._peers = peers
+        self._shares = ConnectionShares(state)
         self._rankings: dict[str, _Ranking] = {}
         self._unavailable: dict[str, float] = {}
         self._target_unreachable: dict[tuple[str, str], float] = {}
@@ -56,25 +60,27 @@
         :returns: this instance if no gateway is available.
         """
         state = self._state
-        now = read_clock()
+        available = self._list_available(entry, read_clock())
         count = self._count_gateways(entry)
-        chosen: list[str] = []
-        for name in self._rank_instances(entry):
-            if len(chosen) == count:
-                break
-            if self._is_available(state.instances[name], entry.ident, now):
-                chosen.append(name)
-        name = choose_gateway(organisation, chosen)
+        name = choose_gateway(organisation, itertools.islice(available, count))
         return state.instances.get(name, state.own)
 
     def find_connection_limit(self, entry: TargetEntry) -> int:
         """Return how many connections to a target this instance may hold."""
-        return compute_connection_limit(self._find_fleet_limit(entry))
+        return self._shares.find_limit(entry, self._rank_instances(entry))
+
+    def has_shares(self, entry: TargetEntry) -> bool:
+        """Tell whether a target's connections are divided into shares."""
+        ranked = self._rank_instances(entry)
+        return self._shares.find_placement(entry, ranked).is_divided
 
     def is_gateway(self, entry: TargetEntry) -> bool:
         """Tell whether this instance is one of a target's gateways."""
-        gateways = self._rank_instances(entry)[: self._count_gateways(entry)]
-        return self._state.own.name in gateways
+        ranked = self._rank_instances(entry)
+        placement = self._shares.find_placement(entry, ranked)
+        if placement.is_divided:
+            return placement.own_rank < placement.fleet.gateways
+        return self._state.own.name in ranked[: self._count_gateways(entry)]
 
     def mark_unavailable(self, gateway: InstanceRecord) -> None:
         """Exclude an instance from selection, as when it did not answer."""
@@ -99,6 +105,28 @@
         self._target_unreachable[excluded] = now + _TARGET_UNREACHABLE_SECONDS
         return is_confirmed
 
+    def _list_available(self, entry: TargetEntry, now: float) -> Iterator[str]:
+        """Yield the available instances of a target's zone by rank.
+
+        With shares, the list ends where so many instances are avoided that
+        this one should open connections of its own.
+        """
+        names = self._rank_instances(entry)
+        placement = self._shares.find_placement(entry, names)
+        may_avoid = len(names)
+        if placement.is_divided:
+            names = placement.candidates
+            if placement.own_share:
+                may_avoid = 2 * placement.fleet.gateways + _MAX_OTHERS_AVOIDED
+        for name in names:
+            gateway = self._state.instances[name]
+            if self._is_available(gateway, entry.ident, now):
+                yield name
+                continue
+            may_avoid -= 1
+            if may_avoid == 0:
+                return
+
     def _is_available(
         self, gateway: InstanceRecord, target: str, now: float
     ) -> bool:
@@ -114,12 +142,7 @@
         return not self._peers.is_stalled(gateway.address, _STALL_SECONDS)
 
     def _count_gateways(self, entry: TargetEntry) -> int:
-        return count_gateways(self._find_fleet_limit(entry))
-
-    def _find_fleet_limit(self, entry: TargetEntry) -> int:
-        """Return the connection limit of a target over the whole fleet."""
-        plan = self._state.plan
-        return plan.connections.get(entry.group, 0) if plan else 0
+        return count_gateways(self._shares.find_fleet_limit(entry))
 
     def _rank_instances(self, entry: TargetEntry) -> list[str]:
         instances = self._state.instances
--- a/comfreystair/pooling/exceptions.py
+++ b/comfreystair/pooling/exceptions.py
@@ -8,6 +8,24 @@
     """No connection or concurrency slot was free in time; nothing was sent."""
 
 
+class ConnectionUnavailableError(PoolError):
+    """This instance may open no connection to the target at present."""
+
+    def __init__(self, message: str, peer: str, retry_seconds: float) -> None:
+        """Build an error that tells when to come back.
+
+        :param peer: id of the target.
+        :param retry_seconds: after which a request may succeed.
+        """
+        super().__init__(message, 'take', peer)
+        self._retry_seconds = retry_seconds
+
+    @property
+    def retry_seconds(self) -> float:
+        """Return after how long the request should come back."""
+        return self._retry_seconds
+
+
 class TargetLostError(ComfreystairError):
     """A target gave no complete answer; the statement may have run there."""
 
--- a/comfreystair/pooling/local_execution.py
+++ b/comfreystair/pooling/local_execution.py
@@ -13,6 +13,7 @@
 from comfreystair.controllers.positions import Position
 from comfreystair.observability.decisions import DecisionLog
 from comfreystair.pooling.exceptions import (
+    ConnectionUnavailableError,
     PoolError,
     TargetLostError,
     TargetRefusedError,
@@ -31,6 +32,7 @@
     Statement,
     StatementKind,
     build_failed_answer,
+    build_retry_answer,
 )
 
 # Priority of statements in an open transaction, ahead of all others.
@@ -334,11 +336,12 @@
     pool: TargetPool, request: StatementRequest, deadline: float
 ) -> Outcome:
     try:
+        pool.raise_if_unavailable(request.organisation)
         await pool.semaphore.acquire(
             request.organisation, request.priority, request.max_wait_seconds
         )
     except PoolError as error:
-        return build_failed_outcome(DeliveryFailure.full, str(error))
+        return _build_full_outcome(error)
     acquired_at = read_clock()
     outcome = build_failed_outcome(
         DeliveryFailure.lost, 'cancelled', is_sent=True
@@ -383,7 +386,7 @@
             request.organisation, request.priority, seconds
         )
     except PoolError as error:
-        return build_failed_outcome(DeliveryFailure.full, str(error))
+        return _build_full_outcome(error)
     except TargetRefusedError as error:
         if error.failure is Failure.wrong_target:
             return build_failed_outcome(DeliveryFailure.lost, str(error))
@@ -393,6 +396,20 @@
         return build_failed_outcome(DeliveryFailure.lost, str(error))
 
 
+def _build_full_outcome(error: PoolError) -> Outcome:
+    """Return the outcome of a request that got no slot or connection.
+
+    Its answer tells when to come back, if the pool does.
+    """
+    outcome = build_failed_outcome(DeliveryFailure.full, str(error))
+    if not isinstance(error, ConnectionUnavailableError):
+        return outcome
+    answer = build_retry_answer('not run', error.retry_seconds)
+    return outcome._replace(
+        answer=answer._replace(failure=Failure.connection_limit)
+    )
+
+
 async def _send(
     pooled: PooledConnection, request: StatementRequest, deadline: float
 ) -> Outcome:
--- a/comfreystair/pooling/manager.py
+++ b/comfreystair/pooling/manager.py
@@ -1,6 +1,7 @@
 """Connection pools of all targets, with the health and load of each."""
 
 import collections
+import json
 from collections.abc import Callable, Iterable
 
 from comfreystair.controllers.target_selection import (
@@ -36,6 +37,7 @@
         entries: Iterable[TargetEntry],
         find_limit: FindLimit,
         has_use: Callable[[TargetEntry], bool],
+        has_backoff: Callable[[TargetEntry], bool] | None = None,
     ) -> None:
         """Create, close and resize pools to match the registered targets.
 
@@ -44,6 +46,8 @@
 
         :param find_limit: returns the connection limit of this instance.
         :param has_use: tells whether idle connections will be used.
+        :param has_backoff: tells whether to back off from a target that refuses
+            connections because of its limit; if absent, from none.
         """
         wanted = {registered.ident: registered for registered in entries}
         for ident, pool in list(self._pools.items()):
@@ -52,7 +56,11 @@
                 self._health.pop(ident)
         for entry in wanted.values():
             with contain_errors('update_pool', entry.ident):
-                await self._update_pool(entry, find_limit(entry))
+                await self._update_pool(
+                    entry,
+                    find_limit(entry),
+                    has_backoff is not None and has_backoff(entry),
+                )
                 if not has_use(entry):
                     await self._pools[entry.ident].close_idle()
 
@@ -99,16 +107,31 @@
             )
         return found
 
-    async def _update_pool(self, entry: TargetEntry, limit: int) -> None:
+    def list_gauges(self) -> dict[str, float]:
+        """Return metrics of the targets that have refused connections."""
+        gauges: dict[str, float] = {}
+        for ident, pool in self._pools.items():
+            stats = pool.stats
+            if stats.refused:
+                label = json.dumps(ident, ensure_ascii=False)
+                gauges[f'connections_refused_total{{target={label}}}'] = (
+                    stats.refused
+                )
+                gauges[
+                    f'connection_backoff_seconds_total{{target={label}}}'
+                ] = stats.backoff_seconds
+        return gauges
+
+    async def _update_pool(
+        self, entry: TargetEntry, limit: int, has_backoff: bool
+    ) -> None:
         """Create or resize the pool of a target."""
         pool = self._pools.get(entry.ident)
         if pool is None:
-            self._pools[entry.ident] = TargetPool(
-                entry, limit, self._open_connection
-            )
+            pool = TargetPool(entry, limit, self._open_connection)
+            self._pools[entry.ident] = pool
             self._health[entry.ident] = TargetHealth()
-        else:
-            await pool.set_limit(limit)
+        await pool.set_limit(limit, has_backoff)
 
 
 def _is_same_run(known: TargetEntry, listed: TargetEntry | None) -> bool:
--- a/comfreystair/pooling/pool.py
+++ b/comfreystair/pooling/pool.py
@@ -1,6 +1,7 @@
 """Connection pool of one target."""
 
 import itertools
+import random
 from collections.abc import Awaitable, Callable
 from typing import Final
 
@@ -14,11 +15,17 @@
     CheckoutDecision,
     IdleConnection,
 )
+from comfreystair.controllers.connections.backoff import ConnectionBackoff
 from comfreystair.controllers.wait_queue import QueuedRequest, WaitQueue
-from comfreystair.pooling.exceptions import PoolError, TargetLostError
+from comfreystair.pooling.exceptions import (
+    ConnectionUnavailableError,
+    PoolError,
+    TargetLostError,
+    TargetRefusedError,
+)
 from comfreystair.pooling.priority_semaphore import PrioritySemaphore
 from comfreystair.pooling.targets import Connection, TargetEntry
-from comfreystair.sessions.statements import PreparedStatement
+from comfreystair.sessions.statements import Failure, PreparedStatement
 
 # Bound on opening a connection, in seconds: a handshake takes 12 ms.
 _OPEN_TIMEOUT_SECONDS: Final = 0.4
@@ -27,6 +34,10 @@
 # longer estimated wait is refused at once.
 _MAX_WAIT_SHARE: Final = 0.7
 
+_OPENING_ACTIONS: Final = frozenset(
+    (CheckoutAction.open, CheckoutAction.replace)
+)
+
 OpenConnection = Callable[[TargetEntry, str, float], Awaitable[Connection]]
 
 
@@ -73,6 +84,9 @@
         self._queue = WaitQueue()
         self._waiters: dict[QueuedRequest, _Waiter] = {}
         self._is_closed = False
+        # Absent while the fleet is too small to need one.
+        self._backoff: ConnectionBackoff | None = None
+        self._stats = ConnectionStats()
         self._semaphore = PrioritySemaphore(entry.slots, entry.ident)
 
     @property
@@ -95,15 +109,50 @@
         """Return the number of requests that wait for a connection."""
         return len(self._waiters)
 
-    async def set_limit(self, limit: int) -> None:
+    @property
+    def stats(self) -> 'ConnectionStats':
+        """Return the counters of refused connections."""
+        return self._stats
+
+    async def set_limit(self, limit: int, has_backoff: bool = False) -> None:
         """Change how many connections this instance may hold.
 
         Idle connections above the limit are closed; waiting requests get
         connections as far as it allows.
+
+        :param limit: if it is 0, waiting requests are rejected.
+        :param has_backoff: back off from the target when it has refused a
+            connection because of its own limit.
         """
+        if has_backoff != (self._backoff is not None):
+            self._backoff = ConnectionBackoff() if has_backoff else None
         for idle_connection in self._checkout.set_limit(limit):
             await self._close_idle_connection(idle_connection)
         await self._assign_connections('')
+        if limit == 0:
+            for waiter in list(self._waiters.values()):
+                await waiter.event.set()
+
+    def raise_if_unavailable(self, organisation: str) -> None:
+        """Reject a request of an organisation that no connection can serve.
+
+        :raises ConnectionUnavailableError: no connection of the organisation
+            is open, and none may be opened at present.
+        """
+        now = read_clock()
+        checkout = self._checkout
+        if checkout.limit and (
+            self._may_open(now)
+            or checkout.has_idle(organisation)
+            or checkout.count_in_use(organisation)
+        ):
+            return
+        backoff = self._backoff or ConnectionBackoff()
+        raise ConnectionUnavailableError(
+            'no connection may be opened',
+            self._entry.ident,
+            backoff.find_retry_seconds(now, random.random()),  # noqa: S311
+        )
 
     async def acquire(
         self, organisation: str, priority: int, seconds: float
@@ -113,13 +162,17 @@
         :param priority: lower values are served first; 0 is the first.
         :param seconds: bound on the wait, and again on opening a connection.
         :raises PoolError: no connection becomes available in time.
+        :raises ConnectionUnavailableError: none may be opened at present.
         :raises TargetLostError: the target can't be reached.
         :raises TargetRefusedError: the target refuses the connection.
         """
         decision = CheckoutDecision(CheckoutAction.wait)
-        if not self._waiters:
-            decision = self._checkout.decide(organisation)
+        # An idle connection that is left in a backoff can't serve the requests
+        # that wait.
+        if not self._waiters or not self._may_open(read_clock()):
+            decision = self._decide(organisation)
         if decision.action is CheckoutAction.wait:
+            self.raise_if_unavailable(organisation)
             decision = await self._wait_for_connection(
                 organisation, priority, seconds
             )
@@ -154,7 +207,7 @@
 
     async def discard(self, pooled: PooledConnection) -> None:
         """Close a connection whose state is unknown."""
-        self._checkout.discard()
+        self._checkout.discard(pooled.organisation)
         await pooled.connection.close()
         await self._assign_connections('')
 
@@ -171,7 +224,10 @@
     async def _wait_for_connection(
         self, organisation: str, priority: int, seconds: float
     ) -> CheckoutDecision:
-        wait = self._queue.estimate_wait(self._checkout.limit)
+        connections = self._checkout.limit
+        if not self._may_open(read_clock()):
+            connections = self._checkout.count_in_use(organisation)
+        wait = self._queue.estimate_wait(connections)
         if wait > seconds * _MAX_WAIT_SHARE:
             raise PoolError(
                 'estimated wait is too long', 'take', self._entry.ident
@@ -211,26 +267,93 @@
             return
         if decision.idle_connection is not None:
             await self._close_idle_connection(decision.idle_connection)
-        self._checkout.discard()
+        self._checkout.discard(queued_request.organisation)
+        if self._backoff is not None:
+            self._backoff.record_failed(read_clock())
         await self._assign_connections('')
 
     async def _open_new(
         self, decision: CheckoutDecision, organisation: str, seconds: float
     ) -> PooledConnection:
         opened: Connection | None = None
+        started_at = read_clock()
         try:
             if decision.idle_connection is not None:
                 await self._close_idle_connection(decision.idle_connection)
-            bound = min(seconds, _OPEN_TIMEOUT_SECONDS)
-            opened = await self._open_connection(
-                self._entry, organisation, bound
-            )
+            opened = await self._open(organisation, started_at, seconds)
         finally:
             if opened is None:
-                self._checkout.discard()
+                self._checkout.discard(organisation)
+                if self._backoff is not None:
+                    self._backoff.record_failed(started_at)
                 await self._assign_connections('')
+        if self._backoff is not None and self._backoff.record_opened(
+            started_at
+        ):
+            logger.info(
+                'event=connection_backoff_ended target={}', self._entry.ident
+            )
+            await self._assign_connections('')
         return PooledConnection(opened, organisation)
 
+    async def _open(
+        self, organisation: str, started_at: float, seconds: float
+    ) -> Connection:
+        """Open a connection, unless a backoff began since that was decided."""
+        if self._backoff is not None and self._backoff.is_backing_off(
+            started_at
+        ):
+            raise ConnectionUnavailableError(
+                'target refuses connections',
+                self._entry.ident,
+                self._backoff.find_retry_seconds(
+                    started_at,
+                    random.random(),  # noqa: S311
+                ),
+            )
+        bound = min(seconds, _OPEN_TIMEOUT_SECONDS)
+        try:
+            return await self._open_connection(self._entry, organisation, bound)
+        except TargetRefusedError as error:
+            if error.failure is Failure.connection_limit:
+                await self._record_refusal(started_at)
+            raise
+
+    async def _record_refusal(self, started_at: float) -> None:
+        """Begin a backoff, at whose end waiting requests go on."""
+        self._stats.refused += 1
+        if self._backoff is None:
+            return
+        seconds = self._backoff.record_refused(
+            started_at,
+            read_clock(),
+            random.random(),  # noqa: S311
+        )
+        if seconds:
+            self._stats.backoff_seconds += seconds
+            logger.info(
+                'event=connection_backoff target={} seconds={:.3f} refused={}',
+                self._entry.ident,
+                seconds,
+                self._stats.refused,
+            )
+            await curio.spawn(self._resume, seconds, daemon=True)
+
+    async def _resume(self, seconds: float) -> None:
+        await curio.sleep(seconds)
+        await self._assign_connections('')
+
+    def _may_open(self, now: float) -> bool:
+        return self._backoff is None or self._backoff.may_open(now)
+
+    def _decide(self, organisation: str) -> CheckoutDecision:
+        """Decide how a request gets its connection."""
+        may_open = self._may_open(read_clock())
+        decision = self._checkout.decide(organisation, may_open)
+        if self._backoff is not None and decision.action in _OPENING_ACTIONS:
+            self._backoff.record_start()
+        return decision
+
     async def _close_idle_connection(
         self, idle_connection: IdleConnection
     ) -> None:
@@ -245,10 +368,10 @@
             no particular one's has.
         """
         while self._waiters:
-            queued_request = self._queue.choose_next(organisation, read_clock())
+            queued_request = self._choose_waiting(organisation)
             if queued_request is None:
                 return
-            decision = self._checkout.decide(queued_request.organisation)
+            decision = self._decide(queued_request.organisation)
             if decision.action is CheckoutAction.wait:
                 return
             self._queue.remove(queued_request)
@@ -256,6 +379,36 @@
             waiter.decision = decision
             await waiter.event.set()
 
+    def _choose_waiting(self, organisation: str) -> QueuedRequest | None:
+        """Return the waiting request that goes next.
+
+        While no connection may be opened, one that can use an idle connection.
+        """
+        if self._may_open(read_clock()):
+            return self._queue.choose_next(organisation, read_clock())
+        return min(
+            (
+                request
+                for request in self._waiters
+                if self._checkout.has_idle(request.organisation)
+            ),
+            key=lambda request: (request.priority, request.number),
+            default=None,
+        )
+
+
+class ConnectionStats:
+    """Counters of one pool.
+
+    :ivar refused: connections that the target refused because of its limit.
+    :ivar backoff_seconds: total duration of the backoffs.
+    """
+
+    def __init__(self) -> None:
+        """Start at zero."""
+        self.refused = 0
+        self.backoff_seconds = 0.0
+
 
 class _Waiter:
     """A request that waits for a connection."""
--- a/tests/gateways/fleet.py
+++ b/tests/gateways/fleet.py
@@ -1,7 +1,11 @@
 """A fleet of instances and one target, all in the test's process."""
 
+from unittest import mock
+
 import curio
 
+from comfreystair.clocks import read_clock
+from comfreystair.controllers.connections.handover import HANDOVER_SECONDS
 from comfreystair.coordination.records import InstanceRecord
 from comfreystair.coordination.state import FleetState
 from comfreystair.gateways import GatewayClient, GatewaySelector, GatewayService
@@ -104,18 +108,25 @@
 
 
 class Fleet:
-    """Instances of one availability zone that share a target."""
+    """Instances that share a target of zone ``a``."""
 
-    def __init__(self, count: int, target: FakeTarget) -> None:
+    def __init__(
+        self, count: int, target: FakeTarget, zones: str = 'a'
+    ) -> None:
         """Build instances that call each other through fake peers.
 
         :param count: number of instances.
         :param target: that all instances open connections to.
+        :param zones: a letter for each availability zone.
         """
+        self._connections = target.limit
         self.peers = FakePeers()
         self.records = {
             f'entry-{number}': InstanceRecord(
-                f'entry-{number}', 'lima-a', f'e:{number}', f'life-{number}'
+                f'entry-{number}',
+                f'lima-{zones[number % len(zones)]}',
+                f'e:{number}',
+                f'life-{number}',
             )
             for number in range(count)
         }
@@ -127,22 +138,32 @@
             self._add(name, target)
 
     async def update(self) -> None:
-        """Update every instance with the list of targets."""
-        for name, board in self._boards.items():
-            selector = self.selectors[name]
-            await board.update(
-                [ENTRY], selector.find_connection_limit, selector.is_gateway
-            )
+        """Update every instance with the list of targets.
+
+        Shares of connections have been handed over afterwards.
+        """
+        for passed in (0, HANDOVER_SECONDS):
+            now = read_clock() + passed
+            with mock.patch(
+                'comfreystair.gateways.shares.read_clock', return_value=now
+            ):
+                await self._update_pools()
 
     @property
     def _boards(self) -> dict[str, PoolManager]:
         return {name: local._pools for name, local in self.locals.items()}
 
+    async def _update_pools(self) -> None:
+        for name, board in self._boards.items():
+            one = self.selectors[name]
+            checks = (one.find_connection_limit, one.is_gateway, one.has_shares)
+            await board.update([ENTRY], *checks)
+
     def _add(self, name: str, target: FakeTarget) -> None:
         record = self.records[name]
         state = FleetState(record)
         state.instances = self.records
-        state.plan = build_plan(1, (), (), {GROUP: CONNECTIONS}, 3)
+        state.plan = build_plan(1, (), (), {GROUP: self._connections}, 3)
         log = FakeLog()
         board = PoolManager('lima-a', target.open)
         local = LocalExecutor(board, log)
--- a/tests/pooling/test_pool.py
+++ b/tests/pooling/test_pool.py
@@ -4,11 +4,16 @@
 
 import curio
 
-from comfreystair.pooling.exceptions import PoolError, TargetLostError
+from comfreystair.pooling.exceptions import (
+    ConnectionUnavailableError,
+    PoolError,
+    TargetLostError,
+    TargetRefusedError,
+)
 from comfreystair.pooling.pool import TargetPool, apply_session_values
 from comfreystair.pooling.priority_semaphore import PrioritySemaphore
 from comfreystair.pooling.targets import TargetEntry
-from comfreystair.sessions.statements import DONE
+from comfreystair.sessions.statements import DONE, Failure
 
 ENTRY = TargetEntry('t', 'permits', 't:1', 'lima-a', 2, 1, False, False)
 
@@ -45,12 +50,15 @@
         """Create a pool that opens fake connections."""
         self.opened: list[FakeConnection] = []
         self.is_reachable = True
+        self.is_full = False
         self.pool = TargetPool(ENTRY, 2, self.open)
 
     async def open(self, _entry, organisation: str, _seconds: float):
         """Open a connection, or fail while the target is unreachable."""
         if not self.is_reachable:
             raise TargetLostError('no answer', 'open')
+        if self.is_full:
+            raise TargetRefusedError(Failure.connection_limit, 't')
         self.opened.append(FakeConnection(organisation))
         return self.opened[-1]
 
@@ -169,6 +177,31 @@
         curio.run(scenario)
         self.assertEqual(self.pool.waiting, 0)
 
+    def test_backoff_from_a_target_that_refuses(self) -> None:
+        """Guards against openings in it, and a waiter that nothing wakes."""
+
+        async def scenario() -> None:
+            await self.pool.set_limit(2, has_backoff=True)
+            red = [await self.pool.acquire('red', 1, 1) for _ in range(2)]
+            queued: list[curio.Task] = []
+            for name in ('blue', 'green', 'red'):
+                queued.append(await curio.spawn(self.pool.acquire, name, 1, 5))
+                await curio.sleep(0)
+            self.is_full = True
+            await self.pool.discard(red[0])
+            await queued[0].wait()
+            self.assertIsInstance(queued[0].exception, TargetRefusedError)
+            with self.assertRaises(ConnectionUnavailableError) as rejected:
+                await self.pool.acquire('blue', 1, 1)
+            self.assertGreater(rejected.exception.retry_seconds, 0.1)
+            await self.pool.release(red[1])
+            self.assertIs(await queued[2].join(), red[1])
+            self.is_full = False
+            self.assertEqual((await queued[1].join()).organisation, 'green')
+
+        curio.run(scenario)
+        self.assertEqual(self.pool.stats.refused, 1)
+
     def test_connection_gets_exactly_the_session_values(self) -> None:
         """Values that another session has set are dropped first."""
 
