Limit retries by a budget for the instance and for each organisation

A target that failed every statement received each up to six times, just when it was overloaded or came back.

In large zones, retries draw on a budget; attempts that another gateway must take because the first is unreachable or shutting down are free. A request that has not run and is not retried is rejected with a time to come back, spread over 0.7 s.

--- a/comfreystair/entry.py
+++ b/comfreystair/entry.py
@@ -18,6 +18,7 @@
     check_entry_settings,
     load_entry_settings,
 )
+from comfreystair.controllers.connections.retry_budget import RetryBudget
 from comfreystair.controllers.membership import build_incarnation
 from comfreystair.coordination.contacts import ContactExchange
 from comfreystair.coordination.durable_logs import LostLogSettler
@@ -59,7 +60,7 @@
 from comfreystair.pooling.local_execution import LocalExecutor
 from comfreystair.pooling.manager import PoolManager
 from comfreystair.pooling.targets import TargetEntry
-from comfreystair.sessions.attempts import AttemptRunner
+from comfreystair.sessions.attempts import AttemptRunner, RetryControl
 from comfreystair.sessions.execution import StatementExecutor
 from comfreystair.sessions.manager import SessionManager
 from comfreystair.sessions.target_selector import TargetSelector
@@ -201,6 +202,7 @@
         self._board = PoolManager(instance.zone, self._open)
         self._book = GatewaySelector(self._state, self._peers)
         self._local = LocalExecutor(self._board, self._log)
+        self._retry_budget = RetryBudget(read_clock())
         self._counters = Counters()
         self._callers = 0
         self._most_callers = find_most_callers(settings.limits.descriptors)
@@ -261,7 +263,13 @@
         relay = GatewayClient(
             self._state.own, self._book, self._local, self._peers, self._log
         )
-        attempts = AttemptRunner(self._state, self._board, relay, self._log)
+        attempts = AttemptRunner(
+            self._state,
+            self._board,
+            relay,
+            self._log,
+            RetryControl(self._retry_budget, self._book),
+        )
         parts = (self._state, placement, attempts)
         return SessionManager(
             self._state,
@@ -327,6 +335,7 @@
             self._state.targets.values(),
             self._book.find_connection_limit,
             self._has_use,
+            self._book.has_shares,
         )
         plan = self._state.plan
         if plan is not None:
@@ -366,6 +375,9 @@
             'plan_age_seconds': self._state.find_plan_age(read_clock()),
             'store_era': float(self._state.store_era.current),
             'log_lines_left_out': float(self._log.left_out),
+            'retries_made_total': float(self._retry_budget.made),
+            'retries_withheld_total': float(self._retry_budget.withheld),
+            **self._board.list_gauges(),
         }
         return _OK, self._counters.format(gauges)
 
--- a/comfreystair/sessions/attempts.py
+++ b/comfreystair/sessions/attempts.py
@@ -1,12 +1,18 @@
 """Run one attempt of a statement at a target and record the result."""
 
-from typing import Final
+import random
+from typing import Final, NamedTuple
 
 import curio
 
 from comfreystair.clocks import read_clock
+from comfreystair.controllers.connections.retry_budget import RetryBudget
 from comfreystair.coordination.state import FleetState, GroupState
-from comfreystair.gateways import GatewayClient, PinnedTransaction
+from comfreystair.gateways import (
+    GatewayClient,
+    GatewaySelector,
+    PinnedTransaction,
+)
 from comfreystair.observability.decisions import DecisionLog
 from comfreystair.pooling.local_execution import (
     DeliveryFailure,
@@ -16,10 +22,12 @@
 from comfreystair.pooling.manager import PoolManager
 from comfreystair.sessions.session import Session
 from comfreystair.sessions.statements import (
+    NOT_RUN_FAILURES,
     Answer,
     Failure,
     StatementKind,
     build_failed_answer,
+    build_retry_answer,
 )
 from comfreystair.sessions.target_selector import (
     SelectedTarget,
@@ -38,7 +46,7 @@
 )
 _NO_GATEWAY: Final = build_failed_answer(
     Failure.overloaded, 'gateway unavailable, not run, retry after 300 ms'
-)
+)._replace(is_gateway_failure=True)
 # Backoff from an overloaded target, in seconds.
 _OVERLOAD_BACKOFF_SECONDS: Final = 0.03
 # Backoff from a primary that reports it is read-only, in seconds.
@@ -46,6 +54,20 @@
 # How long the answer to a write waits for a proof that its target was the
 # primary, in seconds.
 _PROOF_WAIT_SECONDS: Final = 0.8
+# Callers whose request is not retried come back after at least this long, and
+# spread over this much more. The budget of a lone organisation refills in 1 s.
+_MIN_WITHHELD_SECONDS: Final = 0.3
+_WITHHELD_SPREAD_SECONDS: Final = 0.7
+
+
+class RetryControl(NamedTuple):
+    """What decides whether a failed statement is retried.
+
+    :param selector: tells at which targets retries have a budget.
+    """
+
+    budget: RetryBudget
+    selector: GatewaySelector
 
 
 class AttemptRunner:
@@ -57,17 +79,20 @@
         pools: PoolManager,
         gateway_client: GatewayClient,
         log: DecisionLog,
+        retry_control: RetryControl | None = None,
     ) -> None:
         """Initialize with the fleet state and pools that attempts update.
 
         :param pools: connection pools, health and load of the targets.
         :param gateway_client: runs requests on local connections or on a
             gateway.
+        :param retry_control: limits retries; if absent, they have no limit.
         """
         self._state = state
         self._gateway_client = gateway_client
         self._pools = pools
         self._log = log
+        self._retry_control = retry_control
 
     async def run(
         self,
@@ -89,6 +114,7 @@
         is_write = is_writing(request)
         lost = Failure.in_doubt if is_write else Failure.timed_out
         answer = self.read(selected, outcome, asked_at, lost)
+        self._record_success(request, answer)
         if is_write and answer.failure is None:
             group = self._state.find_group(selected.entry.group)
             answer = await self.acknowledge_write(group, selected, answer)
@@ -108,7 +134,9 @@
         )
         # A transaction whose begin got no answer has changed nothing.
         unsent = outcome._replace(is_sent=False)
-        return self.read(selected, unsent, asked_at, Failure.aborted), pinned
+        answer = self.read(selected, unsent, asked_at, Failure.aborted)
+        self._record_success(request, answer)
+        return answer, pinned
 
     def read(
         self,
@@ -129,6 +157,9 @@
             return outcome.answer
         if failure is DeliveryFailure.full:
             self._log.write('target_full', target=ident, why=outcome.reason)
+            if outcome.answer.failure is Failure.connection_limit:
+                # The pool tells when to come back.
+                return outcome.answer
             return NOT_SERVED._replace(failure=Failure.connection_limit)
         if failure is DeliveryFailure.refused:
             self._log.write('target_refused', target=ident, why=outcome.reason)
@@ -141,9 +172,11 @@
             self._state.find_group(selected.entry.group).record_failure(
                 asked_at
             )
+        is_away = failure is DeliveryFailure.away
         if outcome.is_sent:
-            return build_failed_answer(lost, f'{ident} gave no answer')
-        return _NO_GATEWAY if failure is DeliveryFailure.away else NOT_SERVED
+            answer = build_failed_answer(lost, f'{ident} gave no answer')
+            return answer._replace(is_gateway_failure=is_away)
+        return _NO_GATEWAY if is_away else NOT_SERVED
 
     async def acknowledge_write(
         self, group: GroupState, selected: SelectedTarget, answer: Answer
@@ -197,6 +230,62 @@
         if entry.ident == group.primary_tracker.record.primary:
             group.record_failure(asked_at)
 
+    async def prepare_retry(
+        self,
+        requirements: TargetRequirements,
+        selected: SelectedTarget,
+        answer: Answer,
+    ) -> Answer | None:
+        """Exclude a target that failed and wait until the next attempt.
+
+        A primary is not excluded: it is retried after a delay, or not at all if
+        it had no free connection. Without a gateway the target is retried at
+        once. An attempt at another gateway does not draw on the budget.
+
+        :returns: the answer to the caller if there is no other attempt.
+        """
+        if answer is _NO_GATEWAY:
+            # Another gateway may serve the same target.
+            return None
+        is_full = answer.failure is Failure.connection_limit
+        if selected.is_primary and is_full:
+            return answer
+        if not (
+            answer.is_gateway_failure or self._may_retry(requirements, selected)
+        ):
+            return _build_withheld_answer(answer)
+        if selected.is_primary:
+            await curio.sleep(RETRY_DELAY_SECONDS)
+        else:
+            requirements.tried.add(selected.entry.ident)
+        return None
+
+    def _may_retry(
+        self, requirements: TargetRequirements, selected: SelectedTarget
+    ) -> bool:
+        """Spend a token of the retry budget, if retries have one."""
+        control = self._retry_control
+        if control is None or not control.selector.has_shares(selected.entry):
+            return True
+        organisation = requirements.organisation
+        if control.budget.take(organisation, read_clock()):
+            return True
+        self._log.write(
+            'retry_withheld',
+            target=selected.entry.ident,
+            organisation=organisation,
+            withheld=control.budget.withheld,
+        )
+        return False
+
+    def _record_success(
+        self, request: StatementRequest, answer: Answer
+    ) -> None:
+        if self._retry_control is not None and answer.failure is None:
+            self._retry_control.budget.record_success(
+                request.organisation, read_clock()
+            )
+
     def _record_answer(
         self, selected: SelectedTarget, answer: Answer, asked_at: float
     ) -> None:
@@ -235,21 +324,14 @@
     return request.statement.kind in _WRITING_KINDS
 
 
-async def prepare_retry(
-    requirements: TargetRequirements, selected: SelectedTarget, answer: Answer
-) -> bool:
-    """Exclude a target that failed; tell whether to try again.
+def _build_withheld_answer(answer: Answer) -> Answer:
+    """Return the answer to a request that is not retried.
 
-    A primary is not excluded: it is retried after a delay, or not at all if it
-    had no free connection. Without a gateway the target is retried at once.
+    A request that has not run may come back, at a time of its own.
     """
-    if answer is _NO_GATEWAY:
-        # Another gateway may serve the same target.
-        return True
-    if not selected.is_primary:
-        requirements.tried.add(selected.entry.ident)
-        return True
-    if answer.failure is Failure.connection_limit:
-        return False
-    await curio.sleep(RETRY_DELAY_SECONDS)
-    return True
+    if answer.failure not in NOT_RUN_FAILURES:
+        return answer
+    spread = random.random() * _WITHHELD_SPREAD_SECONDS  # noqa: S311
+    return build_retry_answer(
+        'retry budget is used up, not run', _MIN_WITHHELD_SECONDS + spread
+    )
--- a/comfreystair/sessions/execution.py
+++ b/comfreystair/sessions/execution.py
@@ -12,7 +12,6 @@
     RESPONSE_MARGIN_SECONDS,
     AttemptRunner,
     is_writing,
-    prepare_retry,
 )
 from comfreystair.sessions.session import Session
 from comfreystair.sessions.statements import (
@@ -93,8 +92,11 @@
             if not _may_retry(answer, is_write):
                 break
             self._log_retry(statement, selected, answer)
-            if not await prepare_retry(requirements, selected, answer):
-                break
+            refusal = await self._attempt_runner.prepare_retry(
+                requirements, selected, answer
+            )
+            if refusal is not None:
+                return refusal
             share = 1
         return answer or self._target_selector.build_rejection(route.group)
 
--- a/comfreystair/sessions/statements.py
+++ b/comfreystair/sessions/statements.py
@@ -95,6 +95,8 @@
     :param failure: absent on success.
     :param position: position of the target's log, if the target reported it.
     :param is_aborted: the transaction it ran in can only be rolled back.
+    :param is_gateway_failure: the gateway was unreachable or shutting down, so
+        that another one may run the statement.
     """
 
     rows: tuple[str, ...] = ()
@@ -103,6 +105,7 @@
     detail: str = ''
     position: Position | None = None
     is_aborted: bool = False
+    is_gateway_failure: bool = False
 
 
 NOT_RUN_FAILURES = frozenset(
--- a/comfreystair/sessions/transactions.py
+++ b/comfreystair/sessions/transactions.py
@@ -15,7 +15,6 @@
     RESPONSE_MARGIN_SECONDS,
     AttemptRunner,
     is_writing,
-    prepare_retry,
 )
 from comfreystair.sessions.execution import build_request
 from comfreystair.sessions.session import Session, Transaction
@@ -131,8 +130,11 @@
             )
             if answer.failure is None:
                 break
-            if not await prepare_retry(requirements, selected, answer):
-                break
+            refusal = await self._attempt_runner.prepare_retry(
+                requirements, selected, answer
+            )
+            if refusal is not None:
+                return refusal
         return answer
 
     async def _begin_at(
