--- a/comfreystair/entry.py
+++ b/comfreystair/entry.py
@@ -18,6 +18,7 @@
     check_entry_settings,
     load_entry_settings,
 )
+from comfreystair.controllers.connections.retry_budget import RetryBudget
 from comfreystair.controllers.membership import build_incarnation
 from comfreystair.controllers.places.evacuation import Evacuations
 from comfreystair.coordination.contacts import ContactExchange
@@ -64,7 +65,7 @@
 from comfreystair.pooling.local_execution import LocalExecutor
 from comfreystair.pooling.manager import PoolManager
 from comfreystair.pooling.targets import TargetEntry
-from comfreystair.sessions.attempts import AttemptRunner
+from comfreystair.sessions.attempts import AttemptRunner, RetryControl
 from comfreystair.sessions.execution import StatementExecutor
 from comfreystair.sessions.manager import SessionManager
 from comfreystair.sessions.target_selector import TargetSelector
@@ -223,6 +224,7 @@
         )
         self._book = GatewaySelector(self._state, self._peers)
         self._local = LocalExecutor(self._board, self._log)
+        self._retry_budget = RetryBudget(read_clock())
         self._counters = Counters()
         self._callers = 0
         self._most_callers = find_most_callers(settings.limits.descriptors)
@@ -284,7 +286,13 @@
         relay = GatewayClient(
             self._state.own, self._book, self._local, self._peers, self._log
         )
-        attempts = AttemptRunner(self._state, self._board, relay, self._log)
+        attempts = AttemptRunner(
+            self._state,
+            self._board,
+            relay,
+            self._log,
+            RetryControl(self._retry_budget, self._book),
+        )
         parts = (self._state, self._placement, attempts)
         return SessionManager(
             self._state,
@@ -350,6 +358,7 @@
             self._state.targets.values(),
             self._book.find_connection_limit,
             self._has_use,
+            self._book.has_shares,
         )
         await self._local.abort_disallowed()
         plan = self._state.plan
@@ -397,6 +406,9 @@
             'zones_evacuated': float(len(self._state.evacuations.evacuated)),
             'log_lines_left_out': float(self._log.left_out),
             'region_rejections_total': float(self._placement.region_rejections),
+            'retries_made_total': float(self._retry_budget.made),
+            'retries_withheld_total': float(self._retry_budget.withheld),
+            **self._board.list_gauges(),
         }
         return _OK, self._counters.format(gauges)
 
