Share start-time fair tags between queues

The admission of requests at a target needs the same fair order of organisations as the queue of the PostgreSQL path, so the tags move to controllers/scheduling/service_shares.py and the fair queue uses them.

The test of layers looked at the top directory of controllers/ only and would have passed a sub-package with I/O; it now looks into sub-packages.

--- a/comfreystair/controllers/fair_queue.py
+++ b/comfreystair/controllers/fair_queue.py
@@ -1,19 +1,15 @@
 """Fair queueing of organisations at one target, by service time.
 
-This is start-time fair queueing. The start tag of an organisation is the later
-of the virtual time of the queue and the finish tag of the organisation. The
-organisation with the lowest start tag runs its next request. The finish tag is
-raised by the expected service time when a request is started and corrected
-when the request ends, so that an organisation with longer requests runs fewer
-of them.
+:class:`ServiceShares` decides whose request is next; this queue adds limits of
+organisations and urgent requests.
 """
 
 import collections
 import itertools
 from typing import Final, NamedTuple
 
-_INITIAL_SERVICE_SECONDS: Final = 0.002
-_SERVICE_TIME_EWMA_WEIGHT: Final = 0.2
+from comfreystair.controllers.scheduling.service_shares import ServiceShares
+
 _MAX_BURST_SLOT_SECONDS: Final = 0.05
 # Longest time in which a debt is paid off. Limits follow a demand that is
 # measured over a shorter time, so an older debt says little.
@@ -96,9 +92,7 @@
         self._concurrency_limit = concurrency_limit
         self._running = 0
         self._queued = 0
-        self._virtual_time = 0.0
-        self._finish_tags: dict[str, float] = {}
-        self._expected_seconds: dict[str, float] = {}
+        self._shares = ServiceShares()
         self._waiting: dict[str, collections.deque[QueuedRequest]] = {}
         self._urgent: list[QueuedRequest] = []
         self._request_numbers = itertools.count()
@@ -127,8 +121,7 @@
             return request
         queue = self._waiting.setdefault(organisation, collections.deque())
         if not queue:
-            finish = self._finish_tags.get(organisation, 0)
-            self._finish_tags[organisation] = max(self._virtual_time, finish)
+            self._shares.activate(organisation)
         queue.append(request)
         return request
 
@@ -151,19 +144,15 @@
             self._queued -= 1
             return self._urgent.pop(0)
         ready = [
-            (self._finish_tags[name], queue[0].number, name)
+            (self._shares.find_start_tag(name), queue[0].number, name)
             for name, queue in self._waiting.items()
             if queue and self._find_limiter_start_at(name, now) <= now
         ]
         if not ready:
             return None
-        start_tag, _number, name = min(ready)
+        _start_tag, _number, name = min(ready)
         request = self._waiting[name].popleft()
-        service_seconds = self._expected_seconds.get(
-            name, _INITIAL_SERVICE_SECONDS
-        )
-        self._finish_tags[name] = start_tag + service_seconds / request.weight
-        self._virtual_time = max(self._virtual_time, start_tag)
+        self._shares.record_start(name, request.weight)
         self._running += 1
         self._queued -= 1
         return request
@@ -187,12 +176,7 @@
         """Record the end of a request and its service time, in seconds."""
         name = request.organisation
         self._running -= 1
-        expected = self._expected_seconds.get(name, _INITIAL_SERVICE_SECONDS)
-        self._expected_seconds[name] = expected + _SERVICE_TIME_EWMA_WEIGHT * (
-            seconds - expected
-        )
-        correction = (seconds - expected) / request.weight
-        self._finish_tags[name] = self._finish_tags.get(name, 0) + correction
+        self._shares.record_completion(name, seconds, request.weight)
         self._used_slot_seconds[name] = (
             self._used_slot_seconds.get(name, 0) + seconds
         )
@@ -229,9 +213,7 @@
         }
         self._used_slot_seconds = {}
         for name, queue in self._waiting.items():
-            service_seconds = self._expected_seconds.get(
-                name, _INITIAL_SERVICE_SECONDS
-            )
+            service_seconds = self._shares.find_expected_seconds(name)
             waiting = len(queue) * service_seconds / seconds
             demand[name] = demand.get(name, 0) + waiting
         return {name: wanted for name, wanted in demand.items() if wanted}
--- /dev/null
+++ b/tests/controllers/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the controllers of scheduling."""
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -50,14 +50,14 @@
 
     def test_controllers_are_pure(self) -> None:
         """Controllers import no I/O, clock or random source."""
-        for path in (PACKAGE / 'controllers').glob('*.py'):
+        for path in (PACKAGE / 'controllers').rglob('*.py'):
             tops = {name.split('.')[0] for name in list_imports(path)}
             self.assertEqual(tops & FORBIDDEN, set(), path.name)
 
     def test_core_knows_nothing_of_outer_layers(self) -> None:
         """Inner packages do not import outer ones."""
         for inner in ('controllers', 'manifest', 'wire', 'targets', 'routing'):
-            for path in (PACKAGE / inner).glob('*.py'):
+            for path in (PACKAGE / inner).rglob('*.py'):
                 for name in list_imports(path):
                     parts = name.split('.')
                     is_outer = parts[0] == 'comfreystair' and (
