--- a/comfreystair/controllers/concurrency_limit.py
+++ b/comfreystair/controllers/concurrency_limit.py
@@ -59,6 +59,10 @@
         """Count a statement as running."""
         self._in_flight += 1
 
+    def cancel(self) -> None:
+        """Count a statement that was not sent as ended."""
+        self._in_flight -= 1
+
     def finish(self, seconds: float, is_rejected: bool) -> None:
         """Count a statement as ended and adjust the limit.
 
--- a/comfreystair/controllers/scheduling/service_shares.py
+++ b/comfreystair/controllers/scheduling/service_shares.py
@@ -66,3 +66,9 @@
         self._finish_tags[organisation] = (
             self._finish_tags.get(organisation, 0) + correction
         )
+
+    def record_cancellation(self, organisation: str) -> None:
+        """Take back the charge of a request that started and did not run."""
+        self._finish_tags[organisation] -= self.find_expected_seconds(
+            organisation
+        )
