Use admission control at targets where the platform asks for it

A settings list that contains 'pressure' switches it on; without it the present semaphore, order and bounds are used. Requests carry the priority of their organisation and the end of their latency objective to the instance that has the connections (WorkRequest 14 to 16), and a rejection brings back the time after which to return (WorkOutcome 10). A rejected read may try another target within a fifth of its objective, without waiting for one; a request that needs the primary is not tried there again. A begin takes a slot, in order, while it is sent.

--- a/comfreystair/conf/entry.py
+++ b/comfreystair/conf/entry.py
@@ -10,6 +10,8 @@
 _MILLISECONDS = 1000
 # The platform keeps 200 for files.
 _MIN_DESCRIPTORS = 256
+# The contract by which waiting requests are admitted by priority.
+_PRESSURE = 'pressure'
 
 
 class Section(msgspec.Struct, frozen=True):
@@ -67,6 +69,20 @@
     descriptors: int = 0
 
 
+class OverloadSection(Section, frozen=True):
+    """What happens when callers ask for more than targets can do.
+
+    :param contracts: names of what the platform expects of its instances.
+    """
+
+    contracts: tuple[str, ...] | None = ()
+
+    @property
+    def has_priority_admission(self) -> bool:
+        """Tell whether waiting requests are admitted by priority."""
+        return _PRESSURE in (self.contracts or ())
+
+
 class EntrySettings(Section, frozen=True):
     """The whole file.
 
@@ -80,6 +96,7 @@
     promotion: PromotionSection
     bounds: BoundsSection = BoundsSection()
     limits: LimitsSection = LimitsSection()
+    overload: OverloadSection = OverloadSection()
 
     @property
     def key_seconds(self) -> float:
--- a/comfreystair/entry.py
+++ b/comfreystair/entry.py
@@ -1,5 +1,6 @@
 """An entry instance on the users' platform: composition, start, shutdown."""
 
+import functools
 import os
 import signal
 import sys
@@ -39,6 +40,7 @@
 from comfreystair.exceptions import ComfreystairError
 from comfreystair.gateways import GatewayClient, GatewaySelector, GatewayService
 from comfreystair.listening import accept_connections, find_most_callers
+from comfreystair.observability.admission import AdmissionReport
 from comfreystair.observability.counters import Counters
 from comfreystair.observability.decisions import DecisionLog
 from comfreystair.observability.pages import serve_pages
@@ -58,6 +60,11 @@
 from comfreystair.platform.targets import TargetConnection, open_target
 from comfreystair.pooling.local_execution import LocalExecutor
 from comfreystair.pooling.manager import PoolManager
+from comfreystair.pooling.priority_semaphore import (
+    AdmissionSemaphore,
+    BuildSemaphore,
+    PrioritySemaphore,
+)
 from comfreystair.pooling.targets import TargetEntry
 from comfreystair.sessions.attempts import AttemptRunner
 from comfreystair.sessions.execution import StatementExecutor
@@ -198,7 +205,10 @@
             self._log,
         )
         self._lost_logs = LostLogSettler(self._state, store, probes, self._log)
-        self._board = PoolManager(instance.zone, self._open)
+        self._admission = AdmissionReport(self._log)
+        self._board = PoolManager(
+            instance.zone, self._open, self._find_semaphore_builder()
+        )
         self._book = GatewaySelector(self._state, self._peers)
         self._local = LocalExecutor(self._board, self._log)
         self._counters = Counters()
@@ -248,6 +258,11 @@
             'reload', is_taken=True, is_changed=read != self._settings
         )
 
+    def _find_semaphore_builder(self) -> BuildSemaphore:
+        if not self._settings.overload.has_priority_admission:
+            return PrioritySemaphore
+        return functools.partial(AdmissionSemaphore, report=self._admission)
+
     def _build_desk(self) -> SessionManager:
         admission = RateLimiter(
             self._state, self._peers, tuple(self._settings.zones), self._log
@@ -367,7 +382,7 @@
             'store_era': float(self._state.store_era.current),
             'log_lines_left_out': float(self._log.left_out),
         }
-        return _OK, self._counters.format(gauges)
+        return _OK, self._counters.format(gauges) + self._admission.format()
 
     async def _shut_down(self, number: int) -> None:
         seconds = self._settings.shutdown_seconds
--- a/comfreystair/gateways/serialization.py
+++ b/comfreystair/gateways/serialization.py
@@ -1,6 +1,8 @@
 """Conversion of statements and outcomes to and from peer messages."""
 
+from comfreystair.clocks import read_clock
 from comfreystair.controllers.positions import Position
+from comfreystair.manifest.serving import DEFAULT_PRIORITY
 from comfreystair.peers.messages import definitions
 from comfreystair.pooling.local_execution import (
     DeliveryFailure,
@@ -37,12 +39,18 @@
         priority=request.priority,
         patience=request.max_wait_seconds,
         seconds=request.timeout_seconds,
+        organisation_priority=request.organisation_priority,
+        aim_left=_pack_time(request.aim_at),
+        aim_seconds=request.aim_seconds,
     )
 
 
 def unpack_request(message) -> StatementRequest:
     """Return the statement and its session values from a peer message."""
     prepared = message.prepared
+    organisation_priority = message.organisation_priority
+    if organisation_priority is None:
+        organisation_priority = DEFAULT_PRIORITY
     return StatementRequest(
         Statement(
             message.ident,
@@ -59,6 +67,9 @@
         message.priority,
         message.patience,
         message.seconds,
+        organisation_priority,
+        _unpack_time(message.aim_left),
+        message.aim_seconds or 0,
     )
 
 
@@ -76,6 +87,7 @@
         trouble=outcome.delivery_failure.name if has_failed else '',
         is_sent=outcome.is_sent,
         reason=outcome.reason,
+        retry_seconds=outcome.retry_seconds,
     )
 
 
@@ -96,6 +108,7 @@
         else DeliveryFailure.none,
         bool(message.is_sent),
         message.reason or '',
+        message.retry_seconds or 0,
     )
 
 
@@ -105,6 +118,16 @@
     return definitions.PreparedStatement(**prepared._asdict())
 
 
+def _pack_time(at: float | None) -> float | None:
+    """Return the time left until a time, as clocks of instances differ."""
+    return None if at is None else at - read_clock()
+
+
+def _unpack_time(seconds: float | None) -> float | None:
+    """Return the time that is this many seconds from now."""
+    return None if seconds is None else read_clock() + seconds
+
+
 def _pack_position(position: Position | None):
     if position is None:
         return None
--- a/comfreystair/manifest/serving.py
+++ b/comfreystair/manifest/serving.py
@@ -2,7 +2,11 @@
 
 import enum
 from collections.abc import Iterable
-from typing import NamedTuple
+from typing import Final, NamedTuple
+
+
+# Priority of routes and organisations that name none; 0 goes first.
+DEFAULT_PRIORITY: Final = 1
 
 
 class Consistency(enum.Enum):
@@ -40,12 +44,14 @@
 
     :param rate: operations a second.
     :param burst: operations that may come at once.
+    :param priority: 0 goes first, among requests of the same route priority.
     """
 
     name: str
     keys: tuple[str, ...]
     rate: float
     burst: float
+    priority: int = DEFAULT_PRIORITY
 
 
 class ServingPlan(NamedTuple):
@@ -66,6 +72,11 @@
     owners: dict[str, str]
     sync_replicas: dict[str, int]
 
+    def find_priority(self, key: str) -> int:
+        """Return the priority of the organisation that holds a key."""
+        client = self.clients.get(self.owners.get(key, ''))
+        return client.priority if client else DEFAULT_PRIORITY
+
 
 # What targets are told of callers without a key. An organisation may have the
 # same name, so it does not identify these callers.
--- a/comfreystair/peers/comfreystair.thrift
+++ b/comfreystair/peers/comfreystair.thrift
@@ -185,7 +185,8 @@
 }
 
 // A caller's statement for a target whose connections the receiver has. The
-// kind is the name of a StatementKind; times are in seconds.
+// kind is the name of a StatementKind; times are in seconds. Of the latency
+// objective, the time left when the message is sent and the whole are given.
 struct WorkRequest {
     1: string target,
     2: string handle,
@@ -199,11 +200,15 @@
     10: LogPosition floor,
     11: i32 priority,
     12: double patience,
-    13: double seconds
+    13: double seconds,
+    14: i32 organisation_priority,
+    15: double aim_left,
+    16: double aim_seconds
 }
 
 // Failure and trouble are names of a Failure and a DeliveryFailure, empty for
-// none.
+// none. The time to come back is set where admission control rejected the
+// statement.
 struct WorkOutcome {
     1: list<string> rows,
     2: string signature,
@@ -213,7 +218,8 @@
     6: bool is_aborted,
     7: string trouble,
     8: bool is_sent,
-    9: string reason
+    9: string reason,
+    10: double retry_seconds
 }
 
 struct WorkEnd {
--- a/comfreystair/platform/documents.py
+++ b/comfreystair/platform/documents.py
@@ -9,6 +9,7 @@
 from comfreystair.coordination.records import StoredValue
 from comfreystair.dialing import split_address
 from comfreystair.manifest.serving import (
+    DEFAULT_PRIORITY,
     Client,
     Consistency,
     ServingPlan,
@@ -34,6 +35,8 @@
 _MAX_SLOTS: Final = 10000
 # Messages between instances have numbers of 64 bits.
 _MAX_NUMBER: Final = sys.maxsize
+# Messages between instances carry priorities as 32 bits.
+_MAX_PRIORITY: Final = 2147483647
 # Keys of the store have at most 200 bytes.
 _MAX_NAME_CHARACTERS: Final = 200
 
@@ -62,6 +65,7 @@
     api_keys: list[str] = []
     rate_per_s: float = 0
     burst: float = 0
+    prio: int = DEFAULT_PRIORITY
 
 
 class _Limits(msgspec.Struct, rename='pascal'):
@@ -101,10 +105,7 @@
     return build_plan(
         plan.version,
         (_convert_route(route) for route in plan.routes),
-        (
-            Client(one.name, tuple(one.api_keys), one.rate_per_s, one.burst)
-            for one in plan.tenants
-        ),
+        (_convert_tenant(tenant) for tenant in plan.tenants),
         {service.name: service.max_conns for service in plan.services},
         plan.limits.tx_idle_ms / _MILLISECONDS,
         {service.name: service.sync_replicas for service in plan.services},
@@ -174,6 +175,16 @@
     )
 
 
+def _convert_tenant(tenant: _Tenant) -> Client:
+    return Client(
+        tenant.name,
+        tuple(tenant.api_keys),
+        tenant.rate_per_s,
+        tenant.burst,
+        min(max(tenant.prio, 0), _MAX_PRIORITY),
+    )
+
+
 def _convert_route(route: _Route) -> ServingRoute:
     return ServingRoute(
         route.host,
--- a/comfreystair/pooling/exceptions.py
+++ b/comfreystair/pooling/exceptions.py
@@ -8,6 +8,24 @@
     """No connection or concurrency slot was free in time; nothing was sent."""
 
 
+class AdmissionError(PoolError):
+    """A request was rejected while it waited at a target; nothing was sent."""
+
+    def __init__(self, message: str, peer: str, retry_seconds: float) -> None:
+        """Store when the request should come back.
+
+        :param peer: id of the target.
+        :param retry_seconds: time from now.
+        """
+        super().__init__(message, 'admit', peer)
+        self._retry_seconds = retry_seconds
+
+    @property
+    def retry_seconds(self) -> float:
+        """Return after which time the request should come back."""
+        return self._retry_seconds
+
+
 class TargetLostError(ComfreystairError):
     """A target gave no complete answer; the statement may have run there."""
 
--- a/comfreystair/pooling/local_execution.py
+++ b/comfreystair/pooling/local_execution.py
@@ -5,14 +5,22 @@
 """
 
 import enum
+from collections.abc import Awaitable, Callable
 from typing import Final, NamedTuple
 
 import curio
 
 from comfreystair.clocks import read_clock
 from comfreystair.controllers.positions import Position
+from comfreystair.controllers.scheduling.admission import (
+    AdmissionTerms,
+    Ending,
+)
+from comfreystair.controllers.scheduling.minimum_share import Level
+from comfreystair.manifest.serving import DEFAULT_PRIORITY
 from comfreystair.observability.decisions import DecisionLog
 from comfreystair.pooling.exceptions import (
+    AdmissionError,
     PoolError,
     TargetLostError,
     TargetRefusedError,
@@ -73,6 +81,10 @@
     :param max_wait_seconds: bound on the wait for a concurrency slot; a
         request whose estimated wait and run time exceed it is refused.
     :param timeout_seconds: bound on the whole request.
+    :param organisation_priority: second to the priority.
+    :param aim_at: end of the latency objective, by the clock of this instance;
+        absent if the request came from a build that does not send it.
+    :param aim_seconds: the whole latency objective.
     """
 
     statement: Statement
@@ -83,6 +95,9 @@
     priority: int
     max_wait_seconds: float
     timeout_seconds: float
+    organisation_priority: int = DEFAULT_PRIORITY
+    aim_at: float | None = None
+    aim_seconds: float = 0
 
 
 class Outcome(NamedTuple):
@@ -90,12 +105,15 @@
 
     :param is_sent: the target may have received the statement.
     :param reason: text for the log when there is no answer.
+    :param retry_seconds: after which a request that admission control rejected
+        should come back; 0 for all others.
     """
 
     answer: Answer
     delivery_failure: DeliveryFailure = DeliveryFailure.none
     is_sent: bool = False
     reason: str = ''
+    retry_seconds: float = 0
 
 
 _NO_ANSWER: Final = build_failed_answer(Failure.overloaded, 'not run')
@@ -108,6 +126,14 @@
     return Outcome(_NO_ANSWER, failure, is_sent, reason)
 
 
+def _build_full_outcome(error: PoolError) -> Outcome:
+    """Return the outcome of a request that got no slot or connection."""
+    outcome = build_failed_outcome(DeliveryFailure.full, str(error))
+    if isinstance(error, AdmissionError):
+        return outcome._replace(retry_seconds=error.retry_seconds)
+    return outcome
+
+
 class _OpenTransaction:
     """An open transaction with the connection that it is pinned to."""
 
@@ -179,7 +205,7 @@
         self._last_request_times[target] = read_clock()
         self._opening.add(handle)
         try:
-            return await self._open_transaction(
+            return await self._open_in_order(
                 pool, handle, request, is_read_only
             )
         finally:
@@ -259,6 +285,26 @@
                 )
                 await self.rollback(handle)
 
+    async def _open_in_order(
+        self,
+        pool: TargetPool,
+        handle: str,
+        request: StatementRequest,
+        is_read_only: bool,
+    ) -> Outcome:
+        """Open a transaction, with a slot if transactions are admitted too."""
+        if not pool.semaphore.admits_transactions:
+            return await self._open_transaction(
+                pool, handle, request, is_read_only
+            )
+
+        async def open_transaction() -> Outcome:
+            return await self._open_transaction(
+                pool, handle, request, is_read_only
+            )
+
+        return await _run_with_slot(pool, request, open_transaction)
+
     async def _open_transaction(
         self,
         pool: TargetPool,
@@ -300,11 +346,15 @@
         """
         semaphore = transaction.pool.semaphore
         deadline = read_clock() + request.timeout_seconds
+        terms = _build_terms(request)._replace(is_pinned=True)
         while True:
             remaining = find_remaining_seconds(deadline)
             try:
                 await semaphore.acquire(
-                    request.organisation, _TRANSACTION_PRIORITY, remaining
+                    request.organisation,
+                    _TRANSACTION_PRIORITY,
+                    remaining,
+                    terms,
                 )
             except PoolError as error:
                 return build_failed_outcome(DeliveryFailure.lost, str(error))
@@ -317,7 +367,11 @@
             finally:
                 # The transaction keeps its connection, so none becomes free.
                 await semaphore.release(
-                    '', read_clock() - began_at, _is_rejected(outcome)
+                    '',
+                    read_clock() - began_at,
+                    _is_rejected(outcome),
+                    terms,
+                    _find_ending(outcome),
                 )
             if not _should_resend(outcome, deadline):
                 return outcome
@@ -333,22 +387,41 @@
 async def _run_with_semaphore(
     pool: TargetPool, request: StatementRequest, deadline: float
 ) -> Outcome:
+    async def run() -> Outcome:
+        return await _run_with_connection(pool, request, deadline)
+
+    return await _run_with_slot(pool, request, run)
+
+
+async def _run_with_slot(
+    pool: TargetPool,
+    request: StatementRequest,
+    run: Callable[[], Awaitable[Outcome]],
+) -> Outcome:
+    terms = _build_terms(request)
     try:
         await pool.semaphore.acquire(
-            request.organisation, request.priority, request.max_wait_seconds
+            request.organisation,
+            request.priority,
+            request.max_wait_seconds,
+            terms,
         )
     except PoolError as error:
-        return build_failed_outcome(DeliveryFailure.full, str(error))
+        return _build_full_outcome(error)
     acquired_at = read_clock()
     outcome = build_failed_outcome(
         DeliveryFailure.lost, 'cancelled', is_sent=True
     )
     try:
-        outcome = await _run_with_connection(pool, request, deadline)
+        outcome = await run()
     finally:
         elapsed = read_clock() - acquired_at
         await pool.semaphore.release(
-            request.organisation, elapsed, _is_rejected(outcome)
+            request.organisation,
+            elapsed,
+            _is_rejected(outcome),
+            terms,
+            _find_ending(outcome),
         )
     return outcome
 
@@ -378,12 +451,18 @@
 async def _acquire_connection(
     pool: TargetPool, request: StatementRequest, seconds: float
 ) -> PooledConnection | Outcome:
+    terms = _build_terms(request)
     try:
         return await pool.acquire(
-            request.organisation, request.priority, seconds
+            request.organisation,
+            request.priority,
+            seconds,
+            pool.semaphore.bound_connection_wait(terms),
         )
     except PoolError as error:
-        return build_failed_outcome(DeliveryFailure.full, str(error))
+        return _build_full_outcome(
+            pool.semaphore.reject_unconnected(terms, error)
+        )
     except TargetRefusedError as error:
         if error.failure is Failure.wrong_target:
             return build_failed_outcome(DeliveryFailure.lost, str(error))
@@ -419,6 +498,37 @@
     return Outcome(answer, is_sent=True)
 
 
+def _build_terms(request: StatementRequest) -> AdmissionTerms:
+    """Return what the admission of a request that has just come depends on.
+
+    Without an end of its latency objective it has the whole of it, as far as
+    the bound on its wait tells.
+    """
+    now = read_clock()
+    aim_seconds = (
+        request.aim_seconds
+        or request.max_wait_seconds
+        or request.timeout_seconds
+    )
+    aim_at = now + aim_seconds if request.aim_at is None else request.aim_at
+    return AdmissionTerms(
+        request.organisation,
+        Level(request.priority, request.organisation_priority),
+        aim_at,
+        aim_seconds,
+        now + request.timeout_seconds,
+    )
+
+
+def _find_ending(outcome: Outcome) -> Ending:
+    """Return how the use of a slot ended."""
+    if _is_rejected(outcome):
+        return Ending.rejected
+    if outcome.delivery_failure is DeliveryFailure.none:
+        return Ending.answered
+    return Ending.lost if outcome.is_sent else Ending.unsent
+
+
 def _is_rejected(outcome: Outcome) -> bool:
     """Tell whether the target rejected a statement because of overload."""
     is_answered = outcome.delivery_failure is DeliveryFailure.none
--- a/comfreystair/pooling/manager.py
+++ b/comfreystair/pooling/manager.py
@@ -8,6 +8,10 @@
     TargetHealth,
 )
 from comfreystair.pooling.pool import OpenConnection, TargetPool
+from comfreystair.pooling.priority_semaphore import (
+    BuildSemaphore,
+    PrioritySemaphore,
+)
 from comfreystair.pooling.targets import TargetEntry
 from comfreystair.tasks import contain_errors
 
@@ -18,15 +22,23 @@
 class PoolManager:
     """Connection pool, health and load of each target."""
 
-    def __init__(self, zone: str, open_connection: OpenConnection) -> None:
+    def __init__(
+        self,
+        zone: str,
+        open_connection: OpenConnection,
+        build_semaphore: BuildSemaphore = PrioritySemaphore,
+    ) -> None:
         """Initialize without targets; :meth:`update` adds them.
 
         :param zone: availability zone of this instance.
         :param open_connection: opens a connection to a target for an
             organisation, within a number of seconds.
+        :param build_semaphore: builds the limit on a target's running
+            statements.
         """
         self._zone = zone
         self._open_connection = open_connection
+        self._build_semaphore = build_semaphore
         self._pools: dict[str, TargetPool] = {}
         self._health: dict[str, TargetHealth] = {}
         self._running_requests: collections.Counter[str] = collections.Counter()
@@ -104,7 +116,7 @@
         pool = self._pools.get(entry.ident)
         if pool is None:
             self._pools[entry.ident] = TargetPool(
-                entry, limit, self._open_connection
+                entry, limit, self._open_connection, self._build_semaphore
             )
             self._health[entry.ident] = TargetHealth()
         else:
--- a/comfreystair/pooling/pool.py
+++ b/comfreystair/pooling/pool.py
@@ -16,7 +16,11 @@
 )
 from comfreystair.controllers.wait_queue import QueuedRequest, WaitQueue
 from comfreystair.pooling.exceptions import PoolError, TargetLostError
-from comfreystair.pooling.priority_semaphore import PrioritySemaphore
+from comfreystair.pooling.priority_semaphore import (
+    BuildSemaphore,
+    PrioritySemaphore,
+    Semaphore,
+)
 from comfreystair.pooling.targets import Connection, TargetEntry
 from comfreystair.sessions.statements import PreparedStatement
 
@@ -58,13 +62,18 @@
     """Connections to one run of one target's process."""
 
     def __init__(
-        self, entry: TargetEntry, limit: int, open_connection: OpenConnection
+        self,
+        entry: TargetEntry,
+        limit: int,
+        open_connection: OpenConnection,
+        build_semaphore: BuildSemaphore = PrioritySemaphore,
     ) -> None:
         """Initialize without connections.
 
         :param limit: connections that this instance may hold.
         :param open_connection: opens a connection to a target for an
             organisation, within a number of seconds.
+        :param build_semaphore: builds the limit on running statements.
         """
         self._entry = entry
         self._open_connection = open_connection
@@ -73,10 +82,10 @@
         self._queue = WaitQueue()
         self._waiters: dict[QueuedRequest, _Waiter] = {}
         self._is_closed = False
-        self._semaphore = PrioritySemaphore(entry.slots, entry.ident)
+        self._semaphore = build_semaphore(entry.slots, entry.ident)
 
     @property
-    def semaphore(self) -> PrioritySemaphore:
+    def semaphore(self) -> Semaphore:
         """Return the semaphore that limits the target's running statements."""
         return self._semaphore
 
@@ -106,12 +115,17 @@
         await self._assign_connections('')
 
     async def acquire(
-        self, organisation: str, priority: int, seconds: float
+        self,
+        organisation: str,
+        priority: int,
+        seconds: float,
+        wait_seconds: float | None = None,
     ) -> PooledConnection:
         """Return a connection of an organisation, reused or new.
 
         :param priority: lower values are served first; 0 is the first.
         :param seconds: bound on the wait, and again on opening a connection.
+        :param wait_seconds: bound on the wait, if it is shorter.
         :raises PoolError: no connection becomes available in time.
         :raises TargetLostError: the target can't be reached.
         :raises TargetRefusedError: the target refuses the connection.
@@ -121,7 +135,7 @@
             decision = self._checkout.decide(organisation)
         if decision.action is CheckoutAction.wait:
             decision = await self._wait_for_connection(
-                organisation, priority, seconds
+                organisation, priority, min(seconds, wait_seconds or seconds)
             )
         if decision.action is CheckoutAction.reuse:
             pooled = self._idle.pop(decision.idle_connection)
--- a/comfreystair/sessions/attempts.py
+++ b/comfreystair/sessions/attempts.py
@@ -20,6 +20,7 @@
     Failure,
     StatementKind,
     build_failed_answer,
+    build_retry_answer,
 )
 from comfreystair.sessions.target_selector import (
     SelectedTarget,
@@ -43,6 +44,9 @@
 _OVERLOAD_BACKOFF_SECONDS: Final = 0.03
 # Backoff from a primary that reports it is read-only, in seconds.
 _READ_ONLY_BACKOFF_SECONDS: Final = 0.09
+# Share of its latency objective within which a request that one target
+# rejected may try another one: the rejection has to come within a quarter.
+_OTHER_TARGET_SHARE: Final = 0.2
 # How long the answer to a write waits for a proof that its target was the
 # primary, in seconds.
 _PROOF_WAIT_SECONDS: Final = 0.8
@@ -127,6 +131,10 @@
         if failure is DeliveryFailure.none:
             self._record_answer(selected, outcome.answer, asked_at)
             return outcome.answer
+        if outcome.retry_seconds:
+            return build_retry_answer(
+                f'{ident} is overloaded, not run', outcome.retry_seconds
+            )
         if failure is DeliveryFailure.full:
             self._log.write('target_full', target=ident, why=outcome.reason)
             return NOT_SERVED._replace(failure=Failure.connection_limit)
@@ -241,8 +249,14 @@
     """Exclude a target that failed; tell whether to try again.
 
     A primary is not excluded: it is retried after a delay, or not at all if it
-    had no free connection. Without a gateway the target is retried at once.
+    had no free connection. Without a gateway the target is retried at once. A
+    request that admission control rejected may only try another target.
     """
+    if answer.retry_seconds:
+        requirements.tried.add(selected.entry.ident)
+        passed = read_clock() - requirements.read_at
+        allowed = requirements.route.aim_seconds * _OTHER_TARGET_SHARE
+        return passed < allowed and not requirements.must_be_primary
     if answer is _NO_GATEWAY:
         # Another gateway may serve the same target.
         return True
--- a/comfreystair/sessions/execution.py
+++ b/comfreystair/sessions/execution.py
@@ -4,7 +4,11 @@
 
 from comfreystair.clocks import read_clock
 from comfreystair.coordination.state import FleetState
-from comfreystair.manifest.serving import Consistency, ServingRoute
+from comfreystair.manifest.serving import (
+    DEFAULT_PRIORITY,
+    Consistency,
+    ServingRoute,
+)
 from comfreystair.observability.decisions import DecisionLog
 from comfreystair.pooling.local_execution import StatementRequest
 from comfreystair.sessions.attempts import (
@@ -63,7 +67,10 @@
         """Reject a statement that no target will serve in time."""
         if not self._target_selector.has_outage(route.group):
             return None
-        request = build_request(session, route, organisation, statement)
+        priority = find_organisation_priority(self._state, session)
+        request = build_request(
+            session, route, organisation, statement, priority
+        )
         requirements = _build_requirements(session, route, request)
         deadline = _find_deadline(requirements)
         if not self._target_selector.is_hopeless(requirements, deadline):
@@ -78,14 +85,18 @@
         statement: Statement,
     ) -> Answer:
         """Run a statement, retrying at other targets where that is safe."""
-        request = build_request(session, route, organisation, statement)
+        priority = find_organisation_priority(self._state, session)
+        request = build_request(
+            session, route, organisation, statement, priority
+        )
         is_write = is_writing(request)
         requirements = _build_requirements(session, route, request)
         share = 1 if is_write else _FIRST_READ_ATTEMPT_SHARE
         answer = None
         for _ in range(MAX_ATTEMPTS):
+            may_wait = not (answer and answer.retry_seconds)
             attempt = await self._run_attempt(
-                session, requirements, request, share
+                session, requirements, request, share, may_wait
             )
             if attempt is None:
                 break
@@ -104,13 +115,18 @@
         requirements: TargetRequirements,
         request: StatementRequest,
         share: float,
+        may_wait: bool,
     ) -> tuple[SelectedTarget, Answer] | None:
         """Run a statement at the best target; nothing when there is none.
 
         :param share: share of the remaining time that the attempt may take.
+        :param may_wait: no target has rejected it, so that it may wait for
+            one.
         """
         deadline = _find_deadline(requirements)
-        selected = await self._target_selector.select(requirements, deadline)
+        selected = await self._target_selector.select(
+            requirements, deadline, may_wait
+        )
         remaining = deadline - read_clock()
         if selected is None or remaining <= 0:
             return None
@@ -150,15 +166,23 @@
         )
 
 
+def find_organisation_priority(state: FleetState, session: Session) -> int:
+    """Return the priority of the organisation that holds a session's key."""
+    plan = state.plan
+    return plan.find_priority(session.key) if plan else DEFAULT_PRIORITY
+
+
 def build_request(
     session: Session,
     route: ServingRoute,
     organisation: str,
     statement: Statement,
+    organisation_priority: int = DEFAULT_PRIORITY,
 ) -> StatementRequest:
     """Return a statement with its session's state.
 
-    The floor and the time limits are set when a target is selected.
+    The floor and the time limits are set when a target is selected. The latency
+    objective counts from when the session's newest request came.
     """
     return StatementRequest(
         statement,
@@ -169,6 +193,9 @@
         route.priority,
         0,
         0,
+        organisation_priority,
+        session.asked_at + route.aim_seconds,
+        route.aim_seconds,
     )
 
 
--- a/comfreystair/sessions/manager.py
+++ b/comfreystair/sessions/manager.py
@@ -163,6 +163,7 @@
         are logged.
         """
         started_at = read_clock()
+        session.asked_at = started_at
         if session.phase is SessionPhase.in_failed_transaction:
             answer = _answer_failed_transaction(session, statement)
         elif statement.kind in _DATA_KINDS or statement.kind in _END_KINDS:
--- a/comfreystair/sessions/session.py
+++ b/comfreystair/sessions/session.py
@@ -1,5 +1,6 @@
 """State of a caller's session between statements."""
 
+from comfreystair.clocks import read_clock
 from comfreystair.controllers.positions import Position
 from comfreystair.controllers.target_selection import Floor
 from comfreystair.gateways import PinnedTransaction
@@ -46,6 +47,8 @@
         self.prepared: dict[str, PreparedStatement] = {}
         self.floor: Floor | None = None
         self.transaction: Transaction | None = None
+        # When its newest request came, by the clock.
+        self.asked_at = read_clock()
         # Waits for the caller's next request; none while a request runs.
         self.reader_task = None
 
--- a/comfreystair/sessions/statements.py
+++ b/comfreystair/sessions/statements.py
@@ -95,6 +95,8 @@
     :param failure: absent on success.
     :param position: position of the target's log, if the target reported it.
     :param is_aborted: the transaction it ran in can only be rolled back.
+    :param retry_seconds: after which a request that did not run should come
+        back, where its detail says so.
     """
 
     rows: tuple[str, ...] = ()
@@ -103,6 +105,7 @@
     detail: str = ''
     position: Position | None = None
     is_aborted: bool = False
+    retry_seconds: float = 0
 
 
 NOT_RUN_FAILURES = frozenset(
@@ -127,6 +130,8 @@
     :param retry_seconds: after which it should.
     """
     milliseconds = int(retry_seconds * _MILLISECONDS_PER_SECOND)
-    return build_failed_answer(
-        Failure.overloaded, f'{reason}, retry after {milliseconds} ms'
+    return Answer(
+        failure=Failure.overloaded,
+        detail=f'{reason}, retry after {milliseconds} ms',
+        retry_seconds=retry_seconds,
     )
--- a/comfreystair/sessions/target_selector.py
+++ b/comfreystair/sessions/target_selector.py
@@ -84,10 +84,22 @@
         self._is_store_reached = is_store_reached
 
     async def select(
-        self, requirements: TargetRequirements, deadline: float
+        self,
+        requirements: TargetRequirements,
+        deadline: float,
+        may_wait: bool = True,
     ) -> SelectedTarget | None:
-        """Return a target, or nothing when none becomes available in time."""
+        """Return a target, or nothing when none becomes available in time.
+
+        :param may_wait: if not, the request was rejected by a target, and only
+            a target at which it was not tried is returned, at once.
+        """
         group = self._state.find_group(requirements.route.group)
+        if not may_wait:
+            selected = self._select_now(requirements, group)
+            if selected and selected.entry.ident in requirements.tried:
+                return None
+            return selected
         give_up_at = _find_give_up_time(deadline)
         while True:
             selected = self._select_now(requirements, group)
--- a/comfreystair/sessions/transactions.py
+++ b/comfreystair/sessions/transactions.py
@@ -17,7 +17,10 @@
     is_writing,
     prepare_retry,
 )
-from comfreystair.sessions.execution import build_request
+from comfreystair.sessions.execution import (
+    build_request,
+    find_organisation_priority,
+)
 from comfreystair.sessions.session import Session, Transaction
 from comfreystair.sessions.statements import (
     Answer,
@@ -65,7 +68,10 @@
         deadline = (
             read_clock() + route.statement_seconds - RESPONSE_MARGIN_SECONDS
         )
-        request = build_request(session, route, organisation, statement)
+        priority = find_organisation_priority(self._state, session)
+        request = build_request(
+            session, route, organisation, statement, priority
+        )
         if transaction.pinned is None:
             answer = await self._begin(session, request, deadline)
             if answer.failure is not None:
@@ -118,8 +124,9 @@
         """Begin at one target after the other; nothing when there is none."""
         answer = None
         for _ in range(MAX_ATTEMPTS):
+            may_wait = not (answer and answer.retry_seconds)
             selected = await self._target_selector.select(
-                requirements, deadline
+                requirements, deadline, may_wait
             )
             remaining = deadline - read_clock()
             if selected is None or remaining <= 0:
@@ -147,6 +154,7 @@
             statement=Statement('', kind, ''),
             prepared=None,
             floor=selected.position,
+            aim_at=transaction.began_at + transaction.route.aim_seconds,
         )
         answer, pinned = await self._attempt_runner.begin(
             selected, begin_request, is_read_only
--- a/standins/platform/deployment.py
+++ b/standins/platform/deployment.py
@@ -10,6 +10,7 @@
 import threading
 import time
 import urllib.request
+from collections.abc import Sequence
 from typing import Final
 
 from standins.cluster import find_ports
@@ -34,12 +35,14 @@
         lag: float = 0.02,
         has_proxy: bool = False,
         limits: dict | None = None,
+        contracts: Sequence[str] = (),
     ) -> None:
         """Choose ports; nothing runs before :meth:`start`.
 
         :param has_proxy: put a fault proxy before the targets and, for each
             instance, before the platform.
         :param limits: of the instances, as in their settings.
+        :param contracts: of the platform, as in the instances' settings.
         """
         links = [*TARGETS, *(f'store-{one}' for one in range(instances))]
         ports = find_ports(2 + len(links) + len(TARGETS) + 4 * instances)
@@ -57,6 +60,7 @@
         ]
         self._lag = lag
         self._limits = limits or {}
+        self._contracts = list(contracts)
         self._processes: dict[str, subprocess.Popen] = {}
 
     @property
@@ -110,6 +114,7 @@
                     'store': {'address': f'{host}:{platform}'},
                     'promotion': {'address': f'{host}:{platform}'},
                     'limits': self._limits,
+                    'overload': {'contracts': self._contracts},
                 }
             )
         )
