--- a/comfreystair/controllers/scheduling/load_shedding.py
+++ b/comfreystair/controllers/scheduling/load_shedding.py
@@ -12,10 +12,13 @@
 from comfreystair.controllers.scheduling.minimum_share import Level
 from comfreystair.controllers.scheduling.wait_estimator import WaitEstimator
 
-# Until it is decided whether it may wait to the end, a request is kept only if
-# its expected wait is under this share of the time it has, since waits vary.
-# With 0.5, more rejections came after a quarter of the objective.
-_EXPECTED_WAIT_SHARE: Final = 0.35
+# A new request is kept only if its expected wait is under this share of the
+# time it has, since waits vary.
+_ARRIVAL_SHARE: Final = 0.45
+# At its review it must need even less, as it is then kept while it fits at all:
+# with 0.35, up to 7 in 100 rejections of a priority came after a quarter of the
+# objective in simulated loads.
+_REVIEW_SHARE: Final = 0.2
 # Bounds the time that it takes to order the queue.
 _MAX_WAITING: Final = 128
 
@@ -137,6 +140,8 @@
     if request.can_meet_aim(service_seconds, now):
         latest = min(latest, request.terms.aim_at - service_seconds)
     remaining = latest - now
-    if now >= request.review_at and request.number != examined.number:
-        return remaining
-    return remaining * _EXPECTED_WAIT_SHARE
+    if now < request.review_at:
+        return remaining * _ARRIVAL_SHARE
+    if request.number == examined.number:
+        return remaining * _REVIEW_SHARE
+    return remaining
--- a/comfreystair/controllers/scheduling/wait_estimator.py
+++ b/comfreystair/controllers/scheduling/wait_estimator.py
@@ -13,7 +13,7 @@
 _MAX_STRETCH: Final = 8
 # A target is silent after this multiple of the service time without an answer,
 # and not before the minimum, which is above most statements.
-_SILENCE_RATIO: Final = 3
+_SILENCE_RATIO: Final = 2
 _MIN_SILENCE_SECONDS: Final = 0.03
 
 
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -91,6 +91,25 @@
             self.assertFalse(decode_items(items, parse_target).values, ident)
 
 
+class PlanTest(unittest.TestCase):
+    """The operators' plan."""
+
+    def test_priorities_of_organisations(self) -> None:
+        """Guards against numbers that no message between instances holds."""
+        given = ({}, {'Prio': 0}, {'Prio': 2**40}, {'Prio': -1})
+        tenants = [
+            {'Name': f'org-{place}', 'ApiKeys': [f'key-{place}'], **fields}
+            for place, fields in enumerate(given)
+        ]
+        document = {
+            'Version': 1, 'Routes': [], 'Services': [], 'Tenants': tenants
+        }  # fmt: skip
+        plan = parse_plan(store(json.dumps(document).encode()))
+        read = [plan.find_priority(f'key-{place}') for place in range(4)]
+        self.assertEqual(read, [1, 0, 2**31 - 1, 0])
+        self.assertEqual(plan.find_priority(''), 1)
+
+
 class RecordTest(unittest.TestCase):
     """Records and the plan, which nobody else should write."""
 
