--- a/comfreystair/manifest/serving.py
+++ b/comfreystair/manifest/serving.py
@@ -2,7 +2,11 @@
 
 import enum
 from collections.abc import Iterable
-from typing import NamedTuple
+from typing import Final, NamedTuple
+
+
+# Priority of routes and organisations that name none; 0 goes first.
+DEFAULT_PRIORITY: Final = 1
 
 
 class Consistency(enum.Enum):
@@ -45,6 +49,7 @@
     :param burst: operations that may come at once.
     :param allowed_regions: its requests may only reach targets in these
         regions; any if empty.
+    :param priority: 0 goes first, among requests of the same route priority.
     """
 
     name: str
@@ -52,6 +57,7 @@
     rate: float
     burst: float
     allowed_regions: frozenset[str] = frozenset()
+    priority: int = DEFAULT_PRIORITY
 
 
 class ServingPlan(NamedTuple):
@@ -72,6 +78,11 @@
     owners: dict[str, str]
     sync_replicas: dict[str, int]
 
+    def find_priority(self, key: str) -> int:
+        """Return the priority of the organisation that holds a key."""
+        client = self.clients.get(self.owners.get(key, ''))
+        return client.priority if client else DEFAULT_PRIORITY
+
 
 # What targets are told of callers without a key. An organisation may have the
 # same name, so it does not identify these callers.
--- a/comfreystair/platform/documents.py
+++ b/comfreystair/platform/documents.py
@@ -9,6 +9,7 @@
 from comfreystair.coordination.records import StoredValue
 from comfreystair.dialing import split_address
 from comfreystair.manifest.serving import (
+    DEFAULT_PRIORITY,
     Client,
     Consistency,
     ServingPlan,
@@ -36,6 +37,8 @@
 _MAX_SLOTS: Final = 10000
 # Messages between instances have numbers of 64 bits.
 _MAX_NUMBER: Final = sys.maxsize
+# Messages between instances carry priorities as 32 bits.
+_MAX_PRIORITY: Final = 2147483647
 # Keys of the store have at most 200 bytes.
 _MAX_NAME_CHARACTERS: Final = 200
 
@@ -66,6 +69,7 @@
     rate_per_s: float = 0
     burst: float = 0
     allow_regions: list[str] | None = None
+    prio: int = DEFAULT_PRIORITY
 
 
 class _Limits(msgspec.Struct, rename='pascal'):
@@ -188,6 +192,17 @@
     )
 
 
+def _convert_tenant(tenant: _Tenant) -> Client:
+    return Client(
+        tenant.name,
+        tuple(tenant.api_keys),
+        tenant.rate_per_s,
+        tenant.burst,
+        frozenset(tenant.allow_regions or ()),
+        min(max(tenant.prio, 0), _MAX_PRIORITY),
+    )
+
+
 def _convert_route(route: _Route) -> ServingRoute:
     return ServingRoute(
         route.host,
@@ -200,13 +215,3 @@
         route.public,
         frozenset(route.allow_regions or ()),
     )
-
-
-def _convert_tenant(tenant: _Tenant) -> Client:
-    return Client(
-        tenant.name,
-        tuple(tenant.api_keys),
-        tenant.rate_per_s,
-        tenant.burst,
-        frozenset(tenant.allow_regions or ()),
-    )
--- a/comfreystair/pooling/exceptions.py
+++ b/comfreystair/pooling/exceptions.py
@@ -8,24 +8,42 @@
     """No connection or concurrency slot was free in time; nothing was sent."""
 
 
-class ConnectionUnavailableError(PoolError):
-    """This instance may open no connection to the target at present."""
+class RetryLaterError(PoolError):
+    """A request was rejected and may succeed later; nothing was sent."""
 
-    def __init__(self, message: str, peer: str, retry_seconds: float) -> None:
-        """Build an error that tells when to come back.
+    def __init__(
+        self, message: str, step: str, peer: str, retry_seconds: float
+    ) -> None:
+        """Store when the request should come back.
 
         :param peer: id of the target.
-        :param retry_seconds: after which a request may succeed.
+        :param retry_seconds: time from now.
         """
-        super().__init__(message, 'take', peer)
+        super().__init__(message, step, peer)
         self._retry_seconds = retry_seconds
 
     @property
     def retry_seconds(self) -> float:
-        """Return after how long the request should come back."""
+        """Return after which time the request should come back."""
         return self._retry_seconds
 
 
+class ConnectionUnavailableError(RetryLaterError):
+    """This instance may open no connection to the target at present."""
+
+    def __init__(self, message: str, peer: str, retry_seconds: float) -> None:
+        """Build the error of the step that takes a connection."""
+        super().__init__(message, 'take', peer, retry_seconds)
+
+
+class AdmissionError(RetryLaterError):
+    """A request was rejected by admission control."""
+
+    def __init__(self, message: str, peer: str, retry_seconds: float) -> None:
+        """Build the error of the admission."""
+        super().__init__(message, 'admit', peer, retry_seconds)
+
+
 class TargetLostError(ComfreystairError):
     """A target gave no complete answer; the statement may have run there."""
 
--- a/comfreystair/pooling/manager.py
+++ b/comfreystair/pooling/manager.py
@@ -14,6 +14,10 @@
     TargetPool,
     allow_all,
 )
+from comfreystair.pooling.priority_semaphore import (
+    BuildSemaphore,
+    PrioritySemaphore,
+)
 from comfreystair.pooling.targets import TargetEntry
 from comfreystair.tasks import contain_errors
 
@@ -29,6 +33,7 @@
         zone: str,
         open_connection: OpenConnection,
         may_send: MaySend = allow_all,
+        build_semaphore: BuildSemaphore = PrioritySemaphore,
     ) -> None:
         """Initialize without targets; :meth:`update` adds them.
 
@@ -36,10 +41,13 @@
         :param open_connection: opens a connection to a target for an
             organisation, within a number of seconds.
         :param may_send: tells whether requests may be sent to a target.
+        :param build_semaphore: builds the limit on a target's running
+            statements.
         """
         self._zone = zone
-        self._open_connection = open_connection
         self._may_send = may_send
+        self._open_connection = open_connection
+        self._build_semaphore = build_semaphore
         self._pools: dict[str, TargetPool] = {}
         self._health: dict[str, TargetHealth] = {}
         self._running_requests: collections.Counter[str] = collections.Counter()
@@ -141,7 +149,11 @@
         pool = self._pools.get(entry.ident)
         if pool is None:
             pool = TargetPool(
-                entry, limit, self._open_connection, self._may_send
+                entry,
+                limit,
+                self._open_connection,
+                self._may_send,
+                self._build_semaphore,
             )
             self._pools[entry.ident] = pool
             self._health[entry.ident] = TargetHealth()
--- a/comfreystair/pooling/pool.py
+++ b/comfreystair/pooling/pool.py
@@ -23,7 +23,11 @@
     TargetLostError,
     TargetRefusedError,
 )
-from comfreystair.pooling.priority_semaphore import PrioritySemaphore
+from comfreystair.pooling.priority_semaphore import (
+    BuildSemaphore,
+    PrioritySemaphore,
+    Semaphore,
+)
 from comfreystair.pooling.targets import Connection, TargetEntry
 from comfreystair.sessions.statements import Failure, PreparedStatement
 
@@ -81,12 +85,14 @@
         limit: int,
         open_connection: OpenConnection,
         may_send: MaySend = allow_all,
+        build_semaphore: BuildSemaphore = PrioritySemaphore,
     ) -> None:
         """Initialize without connections.
 
         :param limit: connections that this instance may hold.
         :param open_connection: opens a connection to a target for an
             organisation, within a number of seconds.
+        :param build_semaphore: builds the limit on running statements.
         """
         self._entry = entry
         self._may_send = may_send
@@ -99,10 +105,10 @@
         # Absent while the fleet is too small to need one.
         self._backoff: ConnectionBackoff | None = None
         self._stats = ConnectionStats()
-        self._semaphore = PrioritySemaphore(entry.slots, entry.ident)
+        self._semaphore = build_semaphore(entry.slots, entry.ident)
 
     @property
-    def semaphore(self) -> PrioritySemaphore:
+    def semaphore(self) -> Semaphore:
         """Return the semaphore that limits the target's running statements."""
         return self._semaphore
 
@@ -176,12 +182,17 @@
         )
 
     async def acquire(
-        self, organisation: str, priority: int, seconds: float
+        self,
+        organisation: str,
+        priority: int,
+        seconds: float,
+        wait_seconds: float | None = None,
     ) -> PooledConnection:
         """Return a connection of an organisation, reused or new.
 
         :param priority: lower values are served first; 0 is the first.
         :param seconds: bound on the wait, and again on opening a connection.
+        :param wait_seconds: bound on the wait, if it is shorter.
         :raises PoolError: no connection becomes available in time.
         :raises ConnectionUnavailableError: none may be opened at present.
         :raises TargetLostError: the target can't be reached.
@@ -195,7 +206,7 @@
         if decision.action is CheckoutAction.wait:
             self.raise_if_unavailable(organisation)
             decision = await self._wait_for_connection(
-                organisation, priority, seconds
+                organisation, priority, min(seconds, wait_seconds or seconds)
             )
         if decision.action is CheckoutAction.reuse:
             pooled = self._idle.pop(decision.idle_connection)
--- a/comfreystair/sessions/attempts.py
+++ b/comfreystair/sessions/attempts.py
@@ -51,6 +51,9 @@
 _OVERLOAD_BACKOFF_SECONDS: Final = 0.03
 # Backoff from a primary that reports it is read-only, in seconds.
 _READ_ONLY_BACKOFF_SECONDS: Final = 0.09
+# Share of its latency objective within which a request that one target
+# rejected may try another one: the rejection has to come within a quarter.
+_OTHER_TARGET_SHARE: Final = 0.2
 # How long the answer to a write waits for a proof that its target was the
 # primary, in seconds.
 _PROOF_WAIT_SECONDS: Final = 0.8
@@ -155,6 +158,10 @@
         if failure is DeliveryFailure.none:
             self._record_answer(selected, outcome.answer, asked_at)
             return outcome.answer
+        if outcome.retry_seconds:
+            return build_retry_answer(
+                f'{ident} is overloaded, not run', outcome.retry_seconds
+            )
         if failure is DeliveryFailure.full:
             self._log.write('target_full', target=ident, why=outcome.reason)
             if outcome.answer.failure is Failure.connection_limit:
@@ -247,6 +254,12 @@
         if answer is _NO_GATEWAY:
             # Another gateway may serve the same target.
             return None
+        if _is_shed(answer):
+            requirements.tried.add(selected.entry.ident)
+            may_move = _may_move(requirements) and self._may_retry(
+                requirements, selected
+            )
+            return None if may_move else answer
         is_full = answer.failure is Failure.connection_limit
         if selected.is_primary and is_full:
             return answer
@@ -324,6 +337,18 @@
     return request.statement.kind in _WRITING_KINDS
 
 
+def _is_shed(answer: Answer) -> bool:
+    """Tell whether admission control rejected a request at its target."""
+    return bool(answer.retry_seconds) and answer.failure is Failure.overloaded
+
+
+def _may_move(requirements: TargetRequirements) -> bool:
+    """Tell whether a request that a target shed may try another target."""
+    passed = read_clock() - requirements.read_at
+    allowed = requirements.route.aim_seconds * _OTHER_TARGET_SHARE
+    return passed < allowed and not requirements.must_be_primary
+
+
 def _may_catch_up(requirements: TargetRequirements, answer: Answer) -> bool:
     """Tell whether a replica that lags should be tried again.
 
--- a/comfreystair/sessions/statements.py
+++ b/comfreystair/sessions/statements.py
@@ -97,6 +97,8 @@
     :param is_aborted: the transaction it ran in can only be rolled back.
     :param is_gateway_failure: the gateway was unreachable or shutting down, so
         that another one may run the statement.
+    :param retry_seconds: after which a request that did not run should come
+        back, where its detail says so.
     """
 
     rows: tuple[str, ...] = ()
@@ -106,6 +108,7 @@
     position: Position | None = None
     is_aborted: bool = False
     is_gateway_failure: bool = False
+    retry_seconds: float = 0
 
 
 NOT_RUN_FAILURES = frozenset(
@@ -130,6 +133,8 @@
     :param retry_seconds: after which it should.
     """
     milliseconds = int(retry_seconds * _MILLISECONDS_PER_SECOND)
-    return build_failed_answer(
-        Failure.overloaded, f'{reason}, retry after {milliseconds} ms'
+    return Answer(
+        failure=Failure.overloaded,
+        detail=f'{reason}, retry after {milliseconds} ms',
+        retry_seconds=retry_seconds,
     )
--- a/comfreystair/sessions/target_selector.py
+++ b/comfreystair/sessions/target_selector.py
@@ -122,13 +122,24 @@
         return self._region_rejections
 
     async def select(
-        self, requirements: TargetRequirements, deadline: float
+        self,
+        requirements: TargetRequirements,
+        deadline: float,
+        may_wait: bool = True,
     ) -> SelectedTarget | None:
         """Return a target, or nothing when none becomes available in time.
 
         When the allowed regions leave no target, it does not wait for one.
+
+        :param may_wait: if not, the request was rejected by a target, and only
+            a target at which it was not tried is returned, at once.
         """
         group = self._state.find_group(requirements.route.group)
+        if not may_wait:
+            selected = self._select_now(requirements, group)
+            if selected and selected.entry.ident in requirements.tried:
+                return None
+            return selected
         give_up_at = _find_give_up_time(deadline)
         while True:
             await self._renew_sample(requirements, group)
--- a/standins/platform/deployment.py
+++ b/standins/platform/deployment.py
@@ -10,6 +10,7 @@
 import threading
 import time
 import urllib.request
+from collections.abc import Sequence
 from typing import Final
 
 from standins.cluster import find_ports
@@ -36,6 +37,7 @@
         limits: dict | None = None,
         zones: dict[str, str] | None = None,
         bounds: dict | None = None,
+        contracts: Sequence[str] = (),
     ) -> None:
         """Choose ports; nothing runs before :meth:`start`.
 
@@ -45,6 +47,7 @@
         :param zones: of targets and of instances (``entry-0``) that are not in
             the first one.
         :param bounds: of the instances, as in their settings.
+        :param contracts: of the platform, as in the instances' settings.
         """
         links = [*TARGETS, *(f'store-{one}' for one in range(instances))]
         ports = find_ports(2 + len(links) + len(TARGETS) + 4 * instances)
@@ -64,6 +67,7 @@
         self._limits = limits or {}
         self._zones = zones or {}
         self._bounds = bounds or {}
+        self._contracts = list(contracts)
         self._processes: dict[str, subprocess.Popen] = {}
 
     @property
@@ -121,6 +125,7 @@
                     'promotion': {'address': f'{host}:{platform}'},
                     'limits': self._limits,
                     'bounds': self._bounds,
+                    'overload': {'contracts': self._contracts},
                 }
             )
         )
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -57,7 +57,7 @@
     def test_core_knows_nothing_of_outer_layers(self) -> None:
         """Inner packages do not import outer ones."""
         for inner in ('controllers', 'manifest', 'wire', 'targets', 'routing'):
-            for path in (PACKAGE / inner).glob('*.py'):
+            for path in (PACKAGE / inner).rglob('*.py'):
                 for name in list_imports(path):
                     parts = name.split('.')
                     is_outer = parts[0] == 'comfreystair' and (
