--- /dev/null
+++ b/comfreystair/controllers/places/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about where in the fleet a request may run."""
