Read what operators and targets say of cold targets

Plans contain ColdS and ColdPerS of a service, registrations ColdLeftMs, and the settings the bounds ColdExcess and ColdSlack. Nothing read them so far.

A registration with an unusable ColdLeftMs is left out like one with another unusable field; fractions of a millisecond are accepted, as in the plan. A bound that is missing beside the other one counts as no tolerance; negative bounds are the finding E105. Without both bounds, or without ColdPerS, no target is limited.

--- a/comfreystair/conf/entry.py
+++ b/comfreystair/conf/entry.py
@@ -5,6 +5,7 @@
 from comfreystair.conf.checks import LEVEL_ERROR, LEVEL_WARNING, Finding
 from comfreystair.conf.exceptions import SettingsError
 from comfreystair.conf.loader import read_file
+from comfreystair.controllers.places.cold_targets import ColdBounds
 from comfreystair.controllers.primary_tracking import PROOF_TTL_SECONDS
 
 _MILLISECONDS = 1000
@@ -47,7 +48,12 @@
 
 
 class BoundsSection(Section, frozen=True):
-    """What operators are promised, in milliseconds."""
+    """What operators are promised, in milliseconds.
+
+    :param cold_excess: requests that may reach a cold target in a second, as a
+        multiple of those that it handles.
+    :param cold_slack: added to them.
+    """
 
     key_revocation_ms: int = 5000
     configuration_ms: int = 3000
@@ -55,6 +61,8 @@
     shutdown_ms: int = 6000
     drain_ms: int = 7000
     rate_window_ms: int = 5000
+    cold_excess: float | None = None
+    cold_slack: float | None = None
 
 
 class LimitsSection(Section, frozen=True):
@@ -91,6 +99,18 @@
         """Return how long a shutdown may take."""
         return self.bounds.shutdown_ms / _MILLISECONDS
 
+    @property
+    def cold_bounds(self) -> ColdBounds | None:
+        """Return the bounds on requests to cold targets.
+
+        If only one of the two is set, nothing is tolerated in place of the
+        other. Nothing is returned if neither is.
+        """
+        excess, slack = self.bounds.cold_excess, self.bounds.cold_slack
+        if excess is None and slack is None:
+            return None
+        return ColdBounds(1 if excess is None else excess, slack or 0)
+
 
 def load_entry_settings(path: str) -> EntrySettings:
     """Decode a settings file.
@@ -112,6 +132,7 @@
             _check_keys,
             _check_shutdown,
             _check_descriptors,
+            _check_cold_bounds,
         )
         for found in check(settings)
     ]
@@ -168,3 +189,17 @@
             f'allow {_MIN_DESCRIPTORS} or more, or 0 for no limit of its own',
         )
     ]
+
+
+def _check_cold_bounds(settings: EntrySettings) -> list[Finding]:
+    bounds = settings.cold_bounds
+    if bounds is None or min(bounds) >= 0:
+        return []
+    return [
+        Finding(
+            'comfreystair.E105',
+            LEVEL_ERROR,
+            'bounds on requests to cold targets are negative',
+            'raise cold_excess and cold_slack to 0 or more',
+        )
+    ]
--- a/comfreystair/manifest/serving.py
+++ b/comfreystair/manifest/serving.py
@@ -4,6 +4,8 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from comfreystair.controllers.places.cold_targets import ColdStart
+
 
 class Consistency(enum.Enum):
     """What a read must see."""
@@ -56,6 +58,8 @@
     :param sync_replicas: how many replicas must have received a commit before
         it is acknowledged, by group; groups without any may be missing.
     :param idle_seconds: how long a transaction may rest.
+    :param cold_starts: what targets can handle after their start, by group;
+        groups without a limit are missing.
     """
 
     version: int
@@ -65,6 +69,7 @@
     idle_seconds: float
     owners: dict[str, str]
     sync_replicas: dict[str, int]
+    cold_starts: dict[str, ColdStart]
 
 
 # What targets are told of callers without a key. An organisation may have the
@@ -79,6 +84,7 @@
     connections: dict[str, int],
     idle_seconds: float,
     sync_replicas: dict[str, int] | None = None,
+    cold_starts: dict[str, ColdStart] | None = None,
 ) -> ServingPlan:
     """Index routes by database and keys by their organisation."""
     listed = tuple(clients)
@@ -90,4 +96,5 @@
         idle_seconds,
         {key: client.name for client in listed for key in client.keys},
         sync_replicas or {},
+        cold_starts or {},
     )
--- a/comfreystair/platform/documents.py
+++ b/comfreystair/platform/documents.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from comfreystair.controllers.places.cold_targets import ColdStart
 from comfreystair.coordination.records import StoredValue
 from comfreystair.dialing import split_address
 from comfreystair.manifest.serving import (
@@ -55,6 +56,8 @@
     name: str
     max_conns: int = 30
     sync_replicas: int = 0
+    cold_s: float = 0
+    cold_per_s: float = 0
 
 
 class _Tenant(msgspec.Struct, rename='pascal'):
@@ -86,6 +89,7 @@
     state: str
     db_role: str = 'replica'
     seq: int = 0
+    cold_left_ms: float = 0
     born: int = msgspec.field(name='born', default=0)
 
 
@@ -108,6 +112,11 @@
         {service.name: service.max_conns for service in plan.services},
         plan.limits.tx_idle_ms / _MILLISECONDS,
         {service.name: service.sync_replicas for service in plan.services},
+        {
+            service.name: ColdStart(service.cold_s, service.cold_per_s)
+            for service in plan.services
+            if service.cold_per_s > 0
+        },
     )
 
 
@@ -134,6 +143,7 @@
         is_leaving=read.state == 'draining',
         claims_primary=read.db_role == 'primary',
         sequence=read.seq,
+        cold_seconds=read.cold_left_ms / _MILLISECONDS,
     )
 
 
@@ -148,6 +158,7 @@
         'DbRole': read.db_role in _ROLES,
         'Slots': 0 < read.slots <= _MAX_SLOTS,
         'Seq': 0 <= read.seq <= _MAX_NUMBER,
+        'ColdLeftMs': 0 <= read.cold_left_ms <= _MAX_NUMBER,
         'born': 0 <= read.born <= _MAX_NUMBER,
     }
     unusable = [field for field, is_good in is_usable.items() if not is_good]
--- a/comfreystair/pooling/targets.py
+++ b/comfreystair/pooling/targets.py
@@ -19,6 +19,8 @@
     :param is_leaving: it is shutting down and accepts no new statements.
     :param claims_primary: it considers itself the primary.
     :param sequence: rises with each entry of one run.
+    :param cold_seconds: for which it stays cold from when the entry was
+        written.
     """
 
     ident: str
@@ -30,6 +32,7 @@
     is_leaving: bool
     claims_primary: bool
     sequence: int = 0
+    cold_seconds: float = 0.0
 
 
 class TargetReport(NamedTuple):
--- a/tests/platform/odd_entries.py
+++ b/tests/platform/odd_entries.py
@@ -51,6 +51,9 @@
     for field in ('Slots', 'Seq', 'born'):
         blobs += [_encode(field, odd) for odd in ('1', None, [], -1, 1.5)]
         blobs += [_insert(field, number) for number in _HUGE_NUMBERS]
+    for odd in ('1', None, [], -1):
+        blobs.append(_encode('ColdLeftMs', odd))
+    blobs += [_insert('ColdLeftMs', number) for number in _HUGE_NUMBERS[:4]]
     blobs += [_encode('Addr', address) for address in _ADDRESSES]
     blobs += [_encode('State', 'gone'), _encode('Slots', 0)]
     blobs += [_remove(field) for field in ('Service', 'Addr', 'Slots', 'State')]
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 from loguru import logger
 
+from comfreystair.controllers.places.cold_targets import ColdStart
 from comfreystair.controllers.store_position import StorePosition
 from comfreystair.coordination.decoding import decode_items
 from comfreystair.coordination.records import (
@@ -62,6 +63,12 @@
             ),
         )  # fmt: skip
 
+    def test_time_for_which_it_stays_cold(self) -> None:
+        """Guards against milliseconds taken for seconds."""
+        blob = json.dumps({**USABLE, 'ColdLeftMs': 2500.5}).encode()
+        values, _left_out = self.decode(blob)
+        self.assertEqual(values['servers/odd'].cold_seconds, 2.5005)
+
     def test_odd_entries_are_left_out(self) -> None:
         """Guards against one entry that hides all others."""
         for blob in list_odd_blobs():
@@ -110,6 +117,17 @@
                 with self.assertRaises(MalformedError):
                     parse_plan(store(blob))
 
+    def test_limits_of_cold_targets(self) -> None:
+        """Guards against a limit where the operators name none."""
+        services = [
+            {'Name': 'a', 'ColdS': 30, 'ColdPerS': 4.5},
+            {'Name': 'b', 'ColdS': 30},
+            {'Name': 'c', 'ColdS': 30, 'ColdPerS': 0},
+        ]
+        document = {'Version': 1, 'Routes': [], 'Services': services}
+        plan = parse_plan(store(json.dumps(document).encode()))
+        self.assertEqual(plan.cold_starts, {'a': ColdStart(30, 4.5)})
+
     def test_instance_that_can_not_be_called(self) -> None:
         """Guards against an address that fails every call to all."""
         record = {'name': 'a', 'zone': 'z', 'incarnation': 'a-1'}
