Send requests to a cold target only with tokens

Each instance sent as much to a target that had just started as to any other. The executor now obtains a permit for each begin and statement. While the target is cold the permit is a token, which the keepers of the rate limits grant from a bucket of the target (GrantRequest 4). A token is taken before a connection is, so that a rejected request opens none, and checked again just before the request is sent: it must not have expired, and the connection may turn out to have ended.

A read that can run elsewhere does not wait. Other requests wait in turn within their time, statements of open transactions first, or are rejected with the time after which a token is expected.

A connection that ended or was refused makes the target count as cold. Time-outs and refusals for the connection limit do not.

--- a/comfreystair/controllers/token_buckets.py
+++ b/comfreystair/controllers/token_buckets.py
@@ -24,6 +24,8 @@
 _MIN_RATE: Final = 0.001
 # Upper bound on the suggested time before a retry.
 _MAX_RETRY_SECONDS: Final = 2.0
+# Expiry of a token that does not exist.
+EXPIRED: Final = float('-inf')
 
 
 class Limits(NamedTuple):
@@ -83,6 +85,18 @@
         return TokenGrant(0, min(retry, _MAX_RETRY_SECONDS))
 
 
+class TakenToken(NamedTuple):
+    """A token that an instance took out of those granted to it.
+
+    :param expires_at: :data:`EXPIRED` if there was none.
+    :param retry_seconds: time to wait before the next attempt, if there was
+        none.
+    """
+
+    expires_at: float
+    retry_seconds: float = 0
+
+
 class _TokenBatch(NamedTuple):
     tokens: float
     expires_at: float
@@ -102,14 +116,21 @@
 
         :returns: whether a token was spent.
         """
+        return self.take(now) > now
+
+    def take(self, now: float) -> float:
+        """Take out one unexpired token, the oldest first, to be spent later.
+
+        :returns: when it expires; :data:`EXPIRED` if there is none.
+        """
         while self._batches:
             batch = self._batches.popleft()
             if batch.expires_at > now and batch.tokens >= _WHOLE_TOKEN:
                 self._batches.appendleft(
                     batch._replace(tokens=batch.tokens - 1)
                 )
-                return True
-        return False
+                return batch.expires_at
+        return EXPIRED
 
     def add(self, tokens: float, asked_at: float) -> None:
         """Add granted tokens.
--- a/comfreystair/coordination/rate_limiter.py
+++ b/comfreystair/coordination/rate_limiter.py
@@ -1,15 +1,18 @@
-"""Rate limits of organisations, enforced over the whole fleet.
+"""Rate limits of organisations and cold targets over the whole fleet.
 
 Each availability zone has one keeper: the instance that holds the zone's part
 of all token buckets and grants tokens to the other instances.
 """
 
-from typing import Final
+from collections.abc import Callable, Container
+from typing import Final, NamedTuple
 
 from comfreystair.clocks import read_clock
 from comfreystair.controllers.token_buckets import (
+    EXPIRED,
     GrantedTokens,
     Limits,
+    TakenToken,
     TokenBucket,
     TokenGrant,
     split_limits,
@@ -27,9 +30,19 @@
 # Retry delay returned while no keeper answers.
 _NO_KEEPER_RETRY_SECONDS: Final = 0.5
 # Retry delay returned by an instance that is not the keeper, or that does not
-# know the organisation.
+# know the organisation or target.
 _NOT_KEEPER_RETRY_SECONDS: Final = 0.2
 
+# Returns a keeper's part of a cold target's limits, nothing if it has none.
+FindTargetLimits = Callable[[str], Limits | None]
+
+
+class _Subject(NamedTuple):
+    """What tokens are for: an organisation, or a cold target."""
+
+    organisation: str = ''
+    target: str = ''
+
 
 class RateLimiter:
     """Admits requests with tokens that keepers grant to this instance."""
@@ -54,10 +67,10 @@
         own = state.own.zone
         self._zones = (own, *(zone for zone in zones if zone != own))
         self._log = log
-        self._held_tokens: dict[str, GrantedTokens] = {}
+        self._held_tokens: dict[_Subject, GrantedTokens] = {}
         self._last_keepers: dict[str, InstanceRecord] = {}
         self._backoff_until: dict[str, float] = {}
-        self._empty_until: dict[tuple[str, str], float] = {}
+        self._empty_until: dict[tuple[str, _Subject], float] = {}
 
     async def admit(self, organisation: str) -> float | None:
         """Spend one of an organisation's tokens, asking keepers if needed.
@@ -65,23 +78,36 @@
         :returns: nothing when the request is admitted, else the seconds after
             which it should be retried.
         """
-        held_tokens = self._held_tokens.setdefault(
-            organisation, GrantedTokens()
-        )
+        token = await self._take(_Subject(organisation), self._zones)
+        return token.retry_seconds if token.expires_at == EXPIRED else None
+
+    async def take_for_target(
+        self, target: str, zones: Container[str]
+    ) -> TakenToken:
+        """Take one of a cold target's tokens, asking keepers if needed.
+
+        :param zones: those whose keepers have a share.
+        """
+        return await self._take(_Subject(target=target), zones)
+
+    async def _take(
+        self, subject: _Subject, zones: Container[str]
+    ) -> TakenToken:
+        held_tokens = self._held_tokens.setdefault(subject, GrantedTokens())
         wanted = held_tokens.record_arrival(read_clock())
-        if held_tokens.spend(read_clock()):
-            return None
+        expires_at = held_tokens.take(read_clock())
         retry = _NO_KEEPER_RETRY_SECONDS
         for zone, keeper in self._list_keepers():
+            if expires_at > EXPIRED:
+                break
+            if zone not in zones:
+                continue
             asked_at = read_clock()
-            granted = await self._request_tokens(
-                zone, keeper, organisation, wanted
-            )
+            granted = await self._request_tokens(zone, keeper, subject, wanted)
             held_tokens.add(granted.tokens, asked_at)
-            if held_tokens.spend(read_clock()):
-                return None
+            expires_at = held_tokens.take(read_clock())
             retry = min(retry, granted.retry_seconds)
-        return retry
+        return TakenToken(expires_at, retry)
 
     def _list_keepers(self) -> list[tuple[str, InstanceRecord]]:
         """Return the keepers to ask, with their zones, in this order.
@@ -104,7 +130,7 @@
         self,
         zone: str,
         keeper: InstanceRecord,
-        organisation: str,
+        subject: _Subject,
         wanted: float,
     ) -> TokenGrant:
         """Request tokens from a zone's keeper.
@@ -113,14 +139,17 @@
         the retry delay of its last answer without tokens has passed.
         """
         now = read_clock()
-        bucket_key = (keeper.name, organisation)
+        bucket_key = (keeper.name, subject)
         if self._backoff_until.get(keeper.incarnation, now) > now:
             return TokenGrant(0, _NO_KEEPER_RETRY_SECONDS)
         empty_until = self._empty_until.get(bucket_key, now)
         if empty_until > now:
             return TokenGrant(0, empty_until - now)
         request = definitions.GrantRequest(
-            organisation=organisation, wanted=wanted, keeper=zone
+            organisation=subject.organisation,
+            wanted=wanted,
+            keeper=zone,
+            target=subject.target or None,
         )
         try:
             grant = await self._peers.call(
@@ -155,16 +184,24 @@
 class TokenKeeper:
     """Token buckets of this instance's zone, while it is the keeper."""
 
-    def __init__(self, state: FleetState, keepers: int) -> None:
+    def __init__(
+        self,
+        state: FleetState,
+        keepers: int,
+        find_target_limits: FindTargetLimits | None = None,
+    ) -> None:
         """Initialise an instance that is not the keeper.
 
         :param state: this instance's view of the fleet, with the plan.
         :param keepers: number of keepers in the fleet; each has an equal part
             of an organisation's limits.
+        :param find_target_limits: returns this keeper's part of the limits of
+            a cold target; nothing if no target is limited.
         """
         self._state = state
         self._keeper_count = keepers
-        self._buckets: dict[str, TokenBucket] = {}
+        self._find_target_limits = find_target_limits
+        self._buckets: dict[_Subject, TokenBucket] = {}
         self._grants_since = float('inf')
         self._expires_at = float('-inf')
 
@@ -211,17 +248,22 @@
                 is_keeper=False,
             )
         now = read_clock()
-        limits = self._find_limits(request.organisation)
+        subject = (
+            _Subject(target=request.target)
+            if request.target
+            else _Subject(request.organisation)
+        )
+        limits = self._find_limits(subject)
         if limits is None:
             return definitions.Grant(
                 tokens=0,
                 retry_seconds=_NOT_KEEPER_RETRY_SECONDS,
                 is_keeper=True,
             )
-        bucket = self._buckets.get(request.organisation)
+        bucket = self._buckets.get(subject)
         if bucket is None:
             bucket = TokenBucket(self._grants_since)
-            self._buckets[request.organisation] = bucket
+            self._buckets[subject] = bucket
         granted = bucket.grant(request.wanted, limits, now)
         return definitions.Grant(
             tokens=granted.tokens,
@@ -229,13 +271,17 @@
             is_keeper=True,
         )
 
-    def _find_limits(self, organisation: str) -> Limits | None:
-        """Return this keeper's part of an organisation's limits.
+    def _find_limits(self, subject: _Subject) -> Limits | None:
+        """Return this keeper's part of the limits of a subject.
 
-        :returns: nothing when the plan does not contain the organisation.
+        :returns: nothing when the plan does not contain the organisation, or
+            the keeper has no share of the target's limits.
         """
+        find_target_limits = self._find_target_limits
+        if subject.target:
+            return find_target_limits and find_target_limits(subject.target)
         plan = self._state.plan
-        client = plan.clients.get(organisation) if plan else None
+        client = plan.clients.get(subject.organisation) if plan else None
         if client is None:
             return None
         return split_limits(client.rate, client.burst, self._keeper_count)
--- a/comfreystair/entry.py
+++ b/comfreystair/entry.py
@@ -19,6 +19,12 @@
     load_entry_settings,
 )
 from comfreystair.controllers.membership import build_incarnation
+from comfreystair.coordination.cold_targets import (
+    build_change_logger,
+    build_end_recorder,
+    build_limit_finder,
+    build_permit_renewer,
+)
 from comfreystair.coordination.contacts import ContactExchange
 from comfreystair.coordination.durable_logs import LostLogSettler
 from comfreystair.coordination.failover import FailoverCoordinator
@@ -120,6 +126,8 @@
             needs_contact=len(settings.zones) > 1,
         )
         self._state = FleetState(own)
+        self._state.cold_bounds = settings.cold_bounds
+        self._log_cold = build_change_logger(self._state, self._log)
         self._dial = _bound_silence(build_dialer(instance.address))
         era = self._state.store_era
         era.add_listener(self._log_era)
@@ -160,7 +168,10 @@
             self._peers,
             self._log,
         )
-        self._keeper = TokenKeeper(self._state, len(settings.zones))
+        zones = tuple(settings.zones)
+        self._keeper = TokenKeeper(
+            self._state, len(zones), build_limit_finder(self._state, zones)
+        )
         self._duty = KeeperElection(
             self._state,
             store,
@@ -198,10 +209,21 @@
             self._log,
         )
         self._lost_logs = LostLogSettler(self._state, store, probes, self._log)
-        self._board = PoolManager(instance.zone, self._open)
+        self._board = PoolManager(
+            instance.zone, self._open, build_end_recorder(self._state)
+        )
         self._book = GatewaySelector(self._state, self._peers)
-        self._local = LocalExecutor(self._board, self._log)
         self._counters = Counters()
+        self._admission = RateLimiter(
+            self._state, self._peers, zones, self._log
+        )
+        self._local = LocalExecutor(
+            self._board,
+            self._log,
+            build_permit_renewer(
+                self._state, self._admission, zones, self._counters
+            ),
+        )
         self._callers = 0
         self._most_callers = find_most_callers(settings.limits.descriptors)
         self._desk = self._build_desk()
@@ -249,9 +271,6 @@
         )
 
     def _build_desk(self) -> SessionManager:
-        admission = RateLimiter(
-            self._state, self._peers, tuple(self._settings.zones), self._log
-        )
         placement = TargetSelector(
             self._state,
             self._board,
@@ -265,7 +284,7 @@
         parts = (self._state, placement, attempts)
         return SessionManager(
             self._state,
-            admission,
+            self._admission,
             StatementExecutor(*parts, self._log),
             TransactionManager(*parts, relay),
             self._pulse.refresh_now,
@@ -323,6 +342,7 @@
         return await self._open(entry, _PROBE_NAME, seconds)
 
     async def _update_board(self) -> None:
+        self._log_cold()
         await self._board.update(
             self._state.targets.values(),
             self._book.find_connection_limit,
--- a/comfreystair/observability/counters.py
+++ b/comfreystair/observability/counters.py
@@ -14,6 +14,7 @@
     def __init__(self) -> None:
         """Start at zero."""
         self._counts: collections.Counter[str] = collections.Counter()
+        self._held_back: collections.Counter[str] = collections.Counter()
         self._buckets = [0 for _ in (*_BOUNDS, None)]
         self._seconds = 0.0
 
@@ -21,6 +22,10 @@
         """Count one statement."""
         self._counts[outcome] += 1
 
+    def count_held_back(self, outcome: str) -> None:
+        """Count one request that got no token of a cold target at once."""
+        self._held_back[outcome] += 1
+
     def time(self, seconds: float) -> None:
         """Count one success in the histogram."""
         self._buckets[bisect.bisect_left(_BOUNDS, seconds)] += 1
@@ -32,6 +37,10 @@
             f'comfreystair_statements_total{{outcome="{name}"}} {count}'
             for name, count in sorted(self._counts.items())
         ]
+        lines.extend(
+            f'comfreystair_cold_held_back_total{{outcome="{name}"}} {count}'
+            for name, count in sorted(self._held_back.items())
+        )
         total = 0
         for bound, count in zip((*_BOUNDS, '+Inf'), self._buckets, strict=True):
             total += count
--- a/comfreystair/peers/comfreystair.thrift
+++ b/comfreystair/peers/comfreystair.thrift
@@ -105,10 +105,13 @@
     1: binary content
 }
 
+// With a target, the tokens are for requests to it while it is cold, and the
+// organisation is empty.
 struct GrantRequest {
     1: string organisation,
     2: double wanted,
-    3: string keeper
+    3: string keeper,
+    4: string target
 }
 
 struct Grant {
--- a/comfreystair/platform/targets.py
+++ b/comfreystair/platform/targets.py
@@ -17,6 +17,7 @@
     parse_position,
 )
 from comfreystair.pooling.exceptions import (
+    TargetEndedError,
     TargetLostError,
     TargetRefusedError,
 )
@@ -193,6 +194,7 @@
 
     :param names: the group, the organisation, the id expected there.
     :raises TargetLostError: when there was no answer.
+    :raises TargetEndedError: when the connection ended or was refused.
     :raises TargetRefusedError: when the target refused.
     """
     try:
@@ -200,7 +202,9 @@
             return await _open(dial, address, names)
     except curio.TaskTimeout as error:
         raise TargetLostError('no answer in time', 'open', address) from error
-    except (OSError, MalformedError) as error:
+    except (ConnectionError, MalformedError) as error:
+        raise TargetEndedError(str(error), 'open', address) from error
+    except OSError as error:
         raise TargetLostError(str(error), 'open', address) from error
 
 
--- a/comfreystair/pooling/exceptions.py
+++ b/comfreystair/pooling/exceptions.py
@@ -12,6 +12,13 @@
     """A target gave no complete answer; the statement may have run there."""
 
 
+class TargetEndedError(TargetLostError):
+    """The connection to a target ended while it was opened, or was refused.
+
+    The target may have been restarted.
+    """
+
+
 class TargetRefusedError(ComfreystairError):
     """A target refused the connection; nothing was sent on it."""
 
--- a/comfreystair/pooling/local_execution.py
+++ b/comfreystair/pooling/local_execution.py
@@ -5,6 +5,7 @@
 """
 
 import enum
+from collections.abc import Awaitable, Callable
 from typing import Final, NamedTuple
 
 import curio
@@ -24,6 +25,13 @@
     apply_session_values,
     ensure_prepared,
 )
+from comfreystair.pooling.tokens import (
+    Permit,
+    RenewPermit,
+    TokenNeed,
+    TokenRequest,
+    permit_always,
+)
 from comfreystair.sessions.statements import (
     Answer,
     Failure,
@@ -31,6 +39,7 @@
     Statement,
     StatementKind,
     build_failed_answer,
+    build_retry_answer,
 )
 
 # Priority of statements in an open transaction, ahead of all others.
@@ -40,13 +49,17 @@
 # Bound on a rollback, in seconds; without an answer the connection is closed.
 _ROLLBACK_TIMEOUT_SECONDS: Final = 0.3
 _MIN_TIMEOUT_SECONDS: Final = 0.01
+# Share of a request's time that it may wait for a cold target's token. The rest
+# is for running it.
+_MAX_TOKEN_WAIT_SHARE: Final = 0.7
 _UNKNOWN_TARGET: Final = 'target is unknown to this instance'
 
 
 class DeliveryFailure(enum.Enum):
     """Why the target gave no answer.
 
-    ``full``: no concurrency slot or connection was free in time. ``refused``:
+    ``full``: no concurrency slot, connection or token was free in time; with a
+    token missing, the answer says when to retry. ``refused``:
     the target refused a connection. ``lost``: the target did not answer,
     rejected the connection as meant for another target, or the transaction
     can't continue. ``away``: the gateway, the instance that has the
@@ -98,6 +111,10 @@
     reason: str = ''
 
 
+# Obtains permission to send a request; returns the outcome if there is none.
+_Admit = Callable[[], Awaitable[Outcome | None]]
+# The target accepts statements on the connection, or has not been asked.
+_KEPT: Final = frozenset((DeliveryFailure.none, DeliveryFailure.full))
 _NO_ANSWER: Final = build_failed_answer(Failure.overloaded, 'not run')
 
 
@@ -122,13 +139,20 @@
 class LocalExecutor:
     """Runs requests on connections that this instance holds."""
 
-    def __init__(self, pools: PoolManager, log: DecisionLog) -> None:
+    def __init__(
+        self,
+        pools: PoolManager,
+        log: DecisionLog,
+        renew_permit: RenewPermit = permit_always,
+    ) -> None:
         """Initialize with no open transaction.
 
         :param pools: connection pools of the targets.
+        :param renew_permit: permits begins and statements to be sent.
         """
         self._pools = pools
         self._log = log
+        self._renew_permit = renew_permit
         self._transactions: dict[str, _OpenTransaction] = {}
         self._opening: set[str] = set()
         self._running = 0
@@ -156,7 +180,8 @@
         deadline = read_clock() + request.timeout_seconds
         self._running += 1
         try:
-            return await _run_with_semaphore(pool, request, deadline)
+            admit = self._build_admission(target, request, deadline)
+            return await _run_with_semaphore(pool, request, deadline, admit)
         finally:
             self._running -= 1
 
@@ -267,8 +292,9 @@
         is_read_only: bool,
     ) -> Outcome:
         deadline = read_clock() + request.timeout_seconds
-        acquired = await _acquire_connection(
-            pool, request, request.timeout_seconds
+        admit = self._build_admission(pool.entry.ident, request, deadline)
+        acquired = await admit() or await _acquire_connection(
+            pool, request, find_remaining_seconds(deadline)
         )
         if isinstance(acquired, Outcome):
             return acquired
@@ -277,6 +303,9 @@
             await apply_session_values(
                 acquired, request.values, find_remaining_seconds(deadline)
             )
+            rejection = await admit()
+            if rejection is not None:
+                return rejection
             answer = await acquired.connection.begin(
                 is_read_only, request.floor, find_remaining_seconds(deadline)
             )
@@ -298,6 +327,7 @@
 
         The concurrency slot is released between two attempts.
         """
+        target = transaction.pool.entry.ident
         semaphore = transaction.pool.semaphore
         deadline = read_clock() + request.timeout_seconds
         while True:
@@ -313,7 +343,12 @@
                 DeliveryFailure.lost, 'cancelled', is_sent=True
             )
             try:
-                outcome = await _send(transaction.pooled, request, deadline)
+                admit = self._build_admission(
+                    target, request, deadline, is_pinned=True
+                )
+                outcome = await _send(
+                    transaction.pooled, request, deadline, admit
+                )
             finally:
                 # The transaction keeps its connection, so none becomes free.
                 await semaphore.release(
@@ -323,6 +358,38 @@
                 return outcome
             await curio.sleep(_RESEND_DELAY_SECONDS)
 
+    def _build_admission(
+        self,
+        target: str,
+        request: StatementRequest,
+        deadline: float,
+        is_pinned: bool = False,
+    ) -> _Admit:
+        """Return a function that obtains permission to send a request once.
+
+        It is called before a connection is taken, so that a request without a
+        token does not open one, and again just before the request is sent. The
+        second call does nothing while the first one's token is valid.
+
+        :param is_pinned: the request is a statement of an open transaction.
+        """
+        need = (
+            TokenNeed.required if request.floor is None else TokenNeed.optional
+        )
+        if is_pinned:
+            need = TokenNeed.urgent
+        permit = Permit(is_given=False)
+
+        async def admit() -> Outcome | None:
+            nonlocal permit
+            seconds = find_remaining_seconds(deadline) * _MAX_TOKEN_WAIT_SHARE
+            permit = await self._renew_permit(
+                TokenRequest(target, need, seconds), permit
+            )
+            return None if permit.is_given else _build_rejection(permit)
+
+        return admit
+
     async def _discard_transaction(
         self, handle: str, transaction: _OpenTransaction
     ) -> None:
@@ -331,7 +398,7 @@
 
 
 async def _run_with_semaphore(
-    pool: TargetPool, request: StatementRequest, deadline: float
+    pool: TargetPool, request: StatementRequest, deadline: float, admit: _Admit
 ) -> Outcome:
     try:
         await pool.semaphore.acquire(
@@ -344,7 +411,7 @@
         DeliveryFailure.lost, 'cancelled', is_sent=True
     )
     try:
-        outcome = await _run_with_connection(pool, request, deadline)
+        outcome = await _run_with_connection(pool, request, deadline, admit)
     finally:
         elapsed = read_clock() - acquired_at
         await pool.semaphore.release(
@@ -354,23 +421,23 @@
 
 
 async def _run_with_connection(
-    pool: TargetPool, request: StatementRequest, deadline: float
+    pool: TargetPool, request: StatementRequest, deadline: float, admit: _Admit
 ) -> Outcome:
-    acquired = await _acquire_connection(
+    acquired = await admit() or await _acquire_connection(
         pool, request, find_remaining_seconds(deadline)
     )
     if isinstance(acquired, Outcome):
         return acquired
-    is_answered = False
+    is_kept = False
     try:
-        outcome = await _send(acquired, request, deadline)
-        is_answered = outcome.delivery_failure is DeliveryFailure.none
+        outcome = await _send(acquired, request, deadline, admit)
+        is_kept = outcome.delivery_failure in _KEPT
     finally:
-        if is_answered:
+        if is_kept:
             await pool.release(acquired)
         else:
             await pool.discard(acquired)
-    if not is_answered:
+    if not is_kept:
         await pool.close_idle()
     return outcome
 
@@ -394,19 +461,18 @@
 
 
 async def _send(
-    pooled: PooledConnection, request: StatementRequest, deadline: float
+    pooled: PooledConnection,
+    request: StatementRequest,
+    deadline: float,
+    admit: _Admit,
 ) -> Outcome:
-    """Apply the session's state to a connection and run the statement."""
+    """Set a connection up for the session and run the statement."""
     is_sent = False
-    name = ''
     try:
-        await apply_session_values(
-            pooled, request.values, find_remaining_seconds(deadline)
-        )
-        if request.prepared is not None:
-            name = await ensure_prepared(
-                pooled, request.prepared, find_remaining_seconds(deadline)
-            )
+        name = await _set_up(pooled, request, deadline)
+        rejection = await admit()
+        if rejection is not None:
+            return rejection
         is_sent = True
         answer = await pooled.connection.forward(
             request.statement,
@@ -419,6 +485,38 @@
     return Outcome(answer, is_sent=True)
 
 
+async def _set_up(
+    pooled: PooledConnection, request: StatementRequest, deadline: float
+) -> str:
+    """Apply the session's state to a connection.
+
+    :returns: name of the prepared statement that the request executes, empty
+        for none.
+    :raises TargetLostError: the target did not confirm it.
+    """
+    await apply_session_values(
+        pooled, request.values, find_remaining_seconds(deadline)
+    )
+    if request.prepared is None:
+        return ''
+    return await ensure_prepared(
+        pooled, request.prepared, find_remaining_seconds(deadline)
+    )
+
+
+def _build_rejection(permit: Permit) -> Outcome:
+    """Return the outcome of a request that has no token of a cold target.
+
+    :param permit: tells when a token may be there.
+    """
+    answer = build_retry_answer('not run', permit.retry_seconds)
+    return Outcome(
+        answer._replace(failure=Failure.connection_limit),
+        DeliveryFailure.full,
+        reason='no token of a cold target',
+    )
+
+
 def _is_rejected(outcome: Outcome) -> bool:
     """Tell whether the target rejected a statement because of overload."""
     is_answered = outcome.delivery_failure is DeliveryFailure.none
--- a/comfreystair/pooling/manager.py
+++ b/comfreystair/pooling/manager.py
@@ -7,7 +7,12 @@
     ReadCandidate,
     TargetHealth,
 )
-from comfreystair.pooling.pool import OpenConnection, TargetPool
+from comfreystair.pooling.pool import (
+    OnEnd,
+    OpenConnection,
+    TargetPool,
+    ignore_end,
+)
 from comfreystair.pooling.targets import TargetEntry
 from comfreystair.tasks import contain_errors
 
@@ -18,15 +23,23 @@
 class PoolManager:
     """Connection pool, health and load of each target."""
 
-    def __init__(self, zone: str, open_connection: OpenConnection) -> None:
+    def __init__(
+        self,
+        zone: str,
+        open_connection: OpenConnection,
+        on_end: OnEnd = ignore_end,
+    ) -> None:
         """Initialize without targets; :meth:`update` adds them.
 
         :param zone: availability zone of this instance.
         :param open_connection: opens a connection to a target for an
             organisation, within a number of seconds.
+        :param on_end: called when a connection to a target has ended or was
+            refused.
         """
         self._zone = zone
         self._open_connection = open_connection
+        self._on_end = on_end
         self._pools: dict[str, TargetPool] = {}
         self._health: dict[str, TargetHealth] = {}
         self._running_requests: collections.Counter[str] = collections.Counter()
@@ -104,7 +117,7 @@
         pool = self._pools.get(entry.ident)
         if pool is None:
             self._pools[entry.ident] = TargetPool(
-                entry, limit, self._open_connection
+                entry, limit, self._open_connection, self._on_end
             )
             self._health[entry.ident] = TargetHealth()
         else:
--- a/comfreystair/pooling/pool.py
+++ b/comfreystair/pooling/pool.py
@@ -15,7 +15,11 @@
     IdleConnection,
 )
 from comfreystair.controllers.wait_queue import QueuedRequest, WaitQueue
-from comfreystair.pooling.exceptions import PoolError, TargetLostError
+from comfreystair.pooling.exceptions import (
+    PoolError,
+    TargetEndedError,
+    TargetLostError,
+)
 from comfreystair.pooling.priority_semaphore import PrioritySemaphore
 from comfreystair.pooling.targets import Connection, TargetEntry
 from comfreystair.sessions.statements import PreparedStatement
@@ -28,6 +32,12 @@
 _MAX_WAIT_SHARE: Final = 0.7
 
 OpenConnection = Callable[[TargetEntry, str, float], Awaitable[Connection]]
+# Called when a connection to a target has ended or was refused.
+OnEnd = Callable[[TargetEntry], None]
+
+
+def ignore_end(_entry: TargetEntry) -> None:
+    """Do nothing when a connection ends."""
 
 
 class PooledConnection:
@@ -58,16 +68,22 @@
     """Connections to one run of one target's process."""
 
     def __init__(
-        self, entry: TargetEntry, limit: int, open_connection: OpenConnection
+        self,
+        entry: TargetEntry,
+        limit: int,
+        open_connection: OpenConnection,
+        on_end: OnEnd = ignore_end,
     ) -> None:
         """Initialize without connections.
 
         :param limit: connections that this instance may hold.
         :param open_connection: opens a connection to a target for an
             organisation, within a number of seconds.
+        :param on_end: called when a connection has ended or was refused.
         """
         self._entry = entry
         self._open_connection = open_connection
+        self._on_end = on_end
         self._checkout = CheckoutController(limit)
         self._idle: dict[IdleConnection, PooledConnection] = {}
         self._queue = WaitQueue()
@@ -133,6 +149,7 @@
                 'event=connection_replaced target={} reason="input or end"',
                 self._entry.ident,
             )
+            self._on_end(self._entry)
             await pooled.connection.close()
             decision = CheckoutDecision(CheckoutAction.open)
         return await self._open_new(decision, organisation, seconds)
@@ -154,6 +171,8 @@
 
     async def discard(self, pooled: PooledConnection) -> None:
         """Close a connection whose state is unknown."""
+        if pooled.connection.has_input:
+            self._on_end(self._entry)
         self._checkout.discard()
         await pooled.connection.close()
         await self._assign_connections('')
@@ -225,6 +244,9 @@
             opened = await self._open_connection(
                 self._entry, organisation, bound
             )
+        except TargetEndedError:
+            self._on_end(self._entry)
+            raise
         finally:
             if opened is None:
                 self._checkout.discard()
--- a/comfreystair/sessions/attempts.py
+++ b/comfreystair/sessions/attempts.py
@@ -129,6 +129,9 @@
             return outcome.answer
         if failure is DeliveryFailure.full:
             self._log.write('target_full', target=ident, why=outcome.reason)
+            if outcome.answer.failure is Failure.connection_limit:
+                # It says when the target will be less busy.
+                return outcome.answer
             return NOT_SERVED._replace(failure=Failure.connection_limit)
         if failure is DeliveryFailure.refused:
             self._log.write('target_refused', target=ident, why=outcome.reason)
