Wait for a cold target's token before the concurrency slot

A request that waited for a token kept its concurrency slot. Statements of open transactions then waited for a slot behind writes without a token, and the concurrency limit took the wait for a slow answer and shrank.

The token is now taken before the slot. Requests wait for it by priority, statements of open transactions first, for at most half of their time, and are rejected at once if the tokens of all keepers would not be enough.

Not covered: the immediate rejection of requests that come too late in the queue.

--- a/comfreystair/coordination/cold_targets.py
+++ b/comfreystair/coordination/cold_targets.py
@@ -11,7 +11,8 @@
     KeeperShares,
     share_tokens,
 )
-from comfreystair.controllers.token_buckets import EXPIRED, Limits, TakenToken
+from comfreystair.controllers.token_buckets import EXPIRED, Limits
+from comfreystair.controllers.wait_queue import QueuedRequest, WaitQueue
 from comfreystair.coordination.jitter import add_jitter
 from comfreystair.coordination.rate_limiter import (
     FindTargetLimits,
@@ -25,18 +26,21 @@
     PERMITTED,
     Permit,
     RenewPermit,
-    TokenNeed,
     TokenRequest,
 )
 
-# Retry delay returned to a request that was rejected while others waited.
-_QUEUED_RETRY_SECONDS: Final = 0.5
+# Bounds on the retry delay returned to a rejected request.
+_MIN_RETRY_SECONDS: Final = 0.1
+_MAX_RETRY_SECONDS: Final = 2.0
+_MIN_RATE: Final = 0.001
 # Least time between two attempts, as when tokens arrive after their expiry.
 _MIN_WAIT_SECONDS: Final = 0.01
 # A request that got its token sooner did not wait: keepers answer within
 # milliseconds.
 _PROMPT_SECONDS: Final = 0.05
 
+_Wait = Callable[[TokenRequest], Awaitable[Permit]]
+
 
 def build_limit_finder(
     state: FleetState, zones: Sequence[str]
@@ -70,10 +74,6 @@
     """
     queues: dict[str, _Queue] = {}
 
-    async def take(target: str) -> TakenToken:
-        shares = _find_shares(state, zones, target)
-        return await limiter.take_for_target(target, shares.zones)
-
     async def renew(request: TokenRequest, permit: Permit) -> Permit:
         asked_at = read_clock()
         if not state.is_cold(request.target, asked_at):
@@ -82,7 +82,9 @@
         if permit.expires_at > asked_at:
             return permit
         queue = queues.setdefault(request.target, _Queue())
-        permit = await queue.run(functools.partial(_wait, state, take), request)
+        shares = _find_shares(state, zones, request.target)
+        wait = functools.partial(_wait, state, limiter, shares)
+        permit = await queue.obtain(request, shares, wait)
         if not permit.is_given:
             counters.count_held_back('rejected')
         elif read_clock() - asked_at > _PROMPT_SECONDS:
@@ -128,17 +130,17 @@
 
 async def _wait(
     state: FleetState,
-    take: Callable[[str], Awaitable[TakenToken]],
+    limiter: RateLimiter,
+    shares: KeeperShares,
     request: TokenRequest,
 ) -> Permit:
     """Take a token, or wait until one is there or the target is warm.
 
-    :param take: asks the keepers.
     :returns: a rejection if no token can be there within the request's time.
     """
-    give_up_at = read_clock() + request.seconds
+    give_up_at = read_clock() + request.seconds * request.can_wait
     while state.is_cold(request.target, read_clock()):
-        token = await take(request.target)
+        token = await limiter.take_for_target(request.target, shares.zones)
         if token.expires_at > EXPIRED:
             return Permit(is_given=True, expires_at=token.expires_at)
         if read_clock() + token.retry_seconds >= give_up_at:
@@ -148,32 +150,64 @@
 
 
 class _Queue:
-    """Order of the requests that wait for tokens of one target.
-
-    Whoever holds ``token`` asks the keepers. A request that is not urgent
-    needs ``required`` first, so that at most one of these is ahead of an
-    urgent one.
-    """
+    """Requests that wait for a token of one target; the first asks for it."""
 
     def __init__(self) -> None:
-        self._required = curio.Lock()
-        self._token = curio.Lock()
+        self._is_asking = False
+        self._order = WaitQueue()
+        self._events: dict[QueuedRequest, curio.Event] = {}
 
-    async def run(
-        self, wait: Callable[[TokenRequest], Awaitable[Permit]], request
+    async def obtain(
+        self, request: TokenRequest, shares: KeeperShares, wait: _Wait
     ) -> Permit:
-        """Wait for a token in turn, within the request's time."""
+        """Obtain a token, in turn if the request can wait.
+
+        :param wait: asks the keepers until the request's time is over.
+        """
+        ahead = self._count_ahead(request.priority)
+        needed = _estimate_wait(ahead + 1, shares)
+        # A token that others wait for is not taken away from them. Where too
+        # many wait, not even the whole fleet's tokens would be enough.
+        if ahead and (not request.can_wait or needed > request.seconds):
+            return _build_rejection(needed)
         async with curio.ignore_after(request.seconds):
-            if request.need is TokenNeed.urgent:
-                async with self._token:
-                    return await wait(request)
-            if request.need is TokenNeed.required:
-                async with self._required, self._token:
-                    return await wait(request)
-            # A token that others wait for is not taken away from them.
-            if not self._token.locked():
-                return await wait(request._replace(seconds=0))
-        return _build_rejection(_QUEUED_RETRY_SECONDS)
+            if not request.can_wait:
+                return await wait(request)
+            await self._enter(request.priority)
+            try:
+                return await wait(request)
+            finally:
+                await self._leave()
+        return _build_rejection(needed)
+
+    def _count_ahead(self, priority: int) -> int:
+        """Return how many requests a new one would wait for."""
+        waiting = sum(one.priority <= priority for one in self._events)
+        return waiting + self._is_asking
+
+    async def _enter(self, priority: int) -> None:
+        if not self._is_asking:
+            self._is_asking = True
+            return
+        queued_request = self._order.add('', priority, read_clock())
+        event = curio.Event()
+        self._events[queued_request] = event
+        try:
+            await event.wait()
+        except BaseException:
+            self._order.remove(queued_request)
+            self._events.pop(queued_request, None)
+            if event.is_set():
+                await self._leave()
+            raise
+
+    async def _leave(self) -> None:
+        queued_request = self._order.choose_next('', read_clock())
+        if queued_request is None:
+            self._is_asking = False
+            return
+        self._order.remove(queued_request)
+        await self._events.pop(queued_request).set()
 
 
 def _find_shares(
@@ -187,6 +221,13 @@
     return share_tokens(target, start.per_second, bounds, zones)
 
 
+def _estimate_wait(tokens: float, shares: KeeperShares) -> float:
+    """Return how long all keepers need at least to grant some tokens."""
+    rate, burst = (len(shares.zones) * limit for limit in shares.limits)
+    return max(tokens - burst, 0) / max(rate, _MIN_RATE)
+
+
 def _build_rejection(retry_seconds: float) -> Permit:
     """Return a rejection; the retry delay is spread over the callers."""
-    return Permit(is_given=False, retry_seconds=add_jitter(retry_seconds))
+    seconds = min(max(retry_seconds, _MIN_RETRY_SECONDS), _MAX_RETRY_SECONDS)
+    return Permit(is_given=False, retry_seconds=add_jitter(seconds))
--- a/comfreystair/pooling/local_execution.py
+++ b/comfreystair/pooling/local_execution.py
@@ -28,7 +28,6 @@
 from comfreystair.pooling.tokens import (
     Permit,
     RenewPermit,
-    TokenNeed,
     TokenRequest,
     permit_always,
 )
@@ -51,7 +50,7 @@
 _MIN_TIMEOUT_SECONDS: Final = 0.01
 # Share of a request's time that it may wait for a cold target's token. The rest
 # is for running it.
-_MAX_TOKEN_WAIT_SHARE: Final = 0.7
+_MAX_TOKEN_WAIT_SHARE: Final = 0.5
 _UNKNOWN_TARGET: Final = 'target is unknown to this instance'
 
 
@@ -331,6 +330,12 @@
         semaphore = transaction.pool.semaphore
         deadline = read_clock() + request.timeout_seconds
         while True:
+            admit = self._build_admission(
+                target, request, deadline, is_pinned=True
+            )
+            rejection = await admit()
+            if rejection is not None:
+                return rejection
             remaining = find_remaining_seconds(deadline)
             try:
                 await semaphore.acquire(
@@ -343,9 +348,6 @@
                 DeliveryFailure.lost, 'cancelled', is_sent=True
             )
             try:
-                admit = self._build_admission(
-                    target, request, deadline, is_pinned=True
-                )
                 outcome = await _send(
                     transaction.pooled, request, deadline, admit
                 )
@@ -367,24 +369,25 @@
     ) -> _Admit:
         """Return a function that obtains permission to send a request once.
 
-        It is called before a connection is taken, so that a request without a
-        token does not open one, and again just before the request is sent. The
-        second call does nothing while the first one's token is valid.
+        It is called first of all, so that a request without a token takes no
+        slot and opens no connection, and again just before the request is
+        sent. The second call does nothing while the first one's token is valid.
 
         :param is_pinned: the request is a statement of an open transaction.
         """
-        need = (
-            TokenNeed.required if request.floor is None else TokenNeed.optional
+        wanted = TokenRequest(
+            target,
+            is_pinned or request.floor is None,
+            _TRANSACTION_PRIORITY if is_pinned else request.priority,
+            0,
         )
-        if is_pinned:
-            need = TokenNeed.urgent
         permit = Permit(is_given=False)
 
         async def admit() -> Outcome | None:
             nonlocal permit
             seconds = find_remaining_seconds(deadline) * _MAX_TOKEN_WAIT_SHARE
             permit = await self._renew_permit(
-                TokenRequest(target, need, seconds), permit
+                wanted._replace(seconds=seconds), permit
             )
             return None if permit.is_given else _build_rejection(permit)
 
@@ -400,6 +403,9 @@
 async def _run_with_semaphore(
     pool: TargetPool, request: StatementRequest, deadline: float, admit: _Admit
 ) -> Outcome:
+    rejection = await admit()
+    if rejection is not None:
+        return rejection
     try:
         await pool.semaphore.acquire(
             request.organisation, request.priority, request.max_wait_seconds
@@ -423,7 +429,7 @@
 async def _run_with_connection(
     pool: TargetPool, request: StatementRequest, deadline: float, admit: _Admit
 ) -> Outcome:
-    acquired = await admit() or await _acquire_connection(
+    acquired = await _acquire_connection(
         pool, request, find_remaining_seconds(deadline)
     )
     if isinstance(acquired, Outcome):
--- a/comfreystair/pooling/tokens.py
+++ b/comfreystair/pooling/tokens.py
@@ -1,31 +1,20 @@
 """Tokens that a request needs before it is sent to a cold target."""
 
-import enum
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
 
-class TokenNeed(enum.Enum):
-    """How a request waits for a token.
-
-    ``optional``: not at all, as another target can run it. ``required``: in
-    turn. ``urgent``: before the required ones, as a statement of an open
-    transaction, which holds locks.
-    """
-
-    optional = enum.auto()
-    required = enum.auto()
-    urgent = enum.auto()
-
-
 class TokenRequest(NamedTuple):
     """A request for permission to send to a target.
 
+    :param can_wait: it waits for a token, as no other target can run it.
+    :param priority: lower values get a token first.
     :param seconds: bound on the time until the answer.
     """
 
     target: str
-    need: TokenNeed
+    can_wait: bool
+    priority: int
     seconds: float
 
 
