--- a/comfreystair/conf/entry.py
+++ b/comfreystair/conf/entry.py
@@ -5,6 +5,7 @@
 from comfreystair.conf.checks import LEVEL_ERROR, LEVEL_WARNING, Finding
 from comfreystair.conf.exceptions import SettingsError
 from comfreystair.conf.loader import read_file
+from comfreystair.controllers.places.cold_targets import ColdBounds
 from comfreystair.controllers.primary_tracking import PROOF_TTL_SECONDS
 
 _MILLISECONDS = 1000
@@ -52,6 +53,9 @@
     """What operators are promised, in milliseconds.
 
     :param evacuation_ms: 0 where zones are not evacuated.
+    :param cold_excess: requests that may reach a cold target in a second, as a
+        multiple of those that it handles.
+    :param cold_slack: added to them.
     """
 
     key_revocation_ms: int = 5000
@@ -61,6 +65,8 @@
     drain_ms: int = 7000
     rate_window_ms: int = 5000
     evacuation_ms: int = 0
+    cold_excess: float | None = None
+    cold_slack: float | None = None
 
 
 class LimitsSection(Section, frozen=True):
@@ -117,6 +123,18 @@
         """Return how long a shutdown may take."""
         return self.bounds.shutdown_ms / _MILLISECONDS
 
+    @property
+    def cold_bounds(self) -> ColdBounds | None:
+        """Return the bounds on requests to cold targets.
+
+        If only one of the two is set, nothing is tolerated in place of the
+        other. Nothing is returned if neither is.
+        """
+        excess, slack = self.bounds.cold_excess, self.bounds.cold_slack
+        if excess is None and slack is None:
+            return None
+        return ColdBounds(1 if excess is None else excess, slack or 0)
+
 
 def load_entry_settings(path: str) -> EntrySettings:
     """Decode a settings file.
@@ -139,6 +157,7 @@
             _check_shutdown,
             _check_descriptors,
             _check_evacuation,
+            _check_cold_bounds,
         )
         for found in check(settings)
     ]
@@ -209,3 +228,17 @@
             f'raise evacuation_ms above {PROOF_TTL_SECONDS * _MILLISECONDS:g}',
         )
     ]
+
+
+def _check_cold_bounds(settings: EntrySettings) -> list[Finding]:
+    bounds = settings.cold_bounds
+    if bounds is None or min(bounds) >= 0:
+        return []
+    return [
+        Finding(
+            'comfreystair.E106',
+            LEVEL_ERROR,
+            'bounds on requests to cold targets are negative',
+            'raise cold_excess and cold_slack to 0 or more',
+        )
+    ]
--- a/comfreystair/controllers/primary_failover.py
+++ b/comfreystair/controllers/primary_failover.py
@@ -22,6 +22,7 @@
     :param received: position of the last entry in its log.
     :param is_leaving: it accepts no new requests and ends soon.
     :param address: of the target; its log is kept there.
+    :param is_cold: it has started lately and handles few requests.
     """
 
     ident: str
@@ -30,6 +31,7 @@
     received: Position
     is_leaving: bool
     address: str = ''
+    is_cold: bool = False
 
 
 def find_other_primary(
@@ -93,7 +95,7 @@
     """Return the target with the most advanced log, if any can be promoted.
 
     Targets that are leaving are not considered. In a tie a preferred target
-    wins, then a target other than the old primary.
+    wins, then a target other than the old primary, then one that is not cold.
 
     :param refused: ids of targets that could not be promoted.
     :param preferred: ids of targets in regions that all routes of the group
@@ -110,6 +112,7 @@
             status.received,
             status.ident in preferred,
             status.ident != old_primary,
+            not status.is_cold,
             status.ident,
         ),
         default=None,
@@ -143,6 +146,7 @@
             status.received,
             status.ident in preferred,
             status.ident != old_primary,
+            not status.is_cold,
             status.ident,
         ),
         default=None,
--- a/comfreystair/coordination/state.py
+++ b/comfreystair/coordination/state.py
@@ -7,6 +7,12 @@
 import curio
 
 from comfreystair.clocks import read_clock
+from comfreystair.controllers.places.cold_targets import (
+    ColdBounds,
+    ColdStart,
+    ColdTargets,
+    Registration,
+)
 from comfreystair.controllers.places.evacuation import Evacuations
 from comfreystair.controllers.places.homes import combine_regions, is_allowed
 from comfreystair.controllers.primary_tracking import (
@@ -123,6 +129,9 @@
     :ivar evacuations: availability zones that operators have evacuated.
     :ivar is_draining: this instance is shutting down.
     :ivar zone_regions: the region of each availability zone, by the settings.
+    :ivar cold_bounds: bounds on the requests to cold targets; nothing if no
+        target counts as cold.
+    :ivar cold_targets: how long the listed targets stay cold.
     """
 
     def __init__(
@@ -146,6 +155,8 @@
         self.keepers: dict[str, InstanceRecord] = {}
         self.evacuations = Evacuations()
         self.is_draining = False
+        self.cold_bounds: ColdBounds | None = None
+        self.cold_targets = ColdTargets()
         self._groups: dict[str, GroupState] = {}
         self._replica_logs: dict[str, ReplicaLogs] = {}
 
@@ -180,6 +191,15 @@
     ) -> None:
         """Replace the listed targets and note where logs were lost."""
         self.targets = targets
+        self.cold_targets.update(
+            {
+                ident: Registration(
+                    entry.born, entry.sequence, entry.cold_seconds
+                )
+                for ident, entry in targets.items()
+            },
+            now,
+        )
         listed: dict[str, dict[str, ReplicaRun]] = {}
         for entry in sorted(targets.values(), key=_get_start):
             runs = listed.setdefault(entry.group, {})
@@ -226,6 +246,21 @@
             if is_allowed(entry.zone, allowed, self.zone_regions)
         )
 
+    def find_cold_start(self, ident: str) -> ColdStart | None:
+        """Return what a target can handle while it is cold.
+
+        :returns: nothing if there is no limit, or the target is not listed.
+        """
+        entry = self.targets.get(ident)
+        if entry is None or self.plan is None or self.cold_bounds is None:
+            return None
+        return self.plan.cold_starts.get(entry.group)
+
+    def is_cold(self, ident: str, now: float) -> bool:
+        """Tell whether the requests to a target are limited for now."""
+        is_limited = self.find_cold_start(ident) is not None
+        return is_limited and now < self.cold_targets.find_warm_time(ident)
+
     def find_plan_age(self, now: float) -> float:
         """Return the seconds since the plan was last proved the newest."""
         return now - self.plan_proved_at
--- a/comfreystair/entry.py
+++ b/comfreystair/entry.py
@@ -1,6 +1,5 @@
 """An entry instance on the users' platform: composition, start, shutdown."""
 
-import functools
 import os
 import signal
 import sys
@@ -22,6 +21,7 @@
 from comfreystair.controllers.connections.retry_budget import RetryBudget
 from comfreystair.controllers.membership import build_incarnation
 from comfreystair.controllers.places.evacuation import Evacuations
+from comfreystair.coordination import cold_targets
 from comfreystair.coordination.contacts import ContactExchange
 from comfreystair.coordination.durable_logs import LostLogSettler
 from comfreystair.coordination.evacuations import EvacuationKeys
@@ -66,11 +66,7 @@
 from comfreystair.platform.targets import TargetConnection, open_target
 from comfreystair.pooling.local_execution import LocalExecutor
 from comfreystair.pooling.manager import PoolManager
-from comfreystair.pooling.priority_semaphore import (
-    AdmissionSemaphore,
-    BuildSemaphore,
-    PrioritySemaphore,
-)
+from comfreystair.pooling.priority_semaphore import find_semaphore_builder
 from comfreystair.pooling.targets import TargetEntry
 from comfreystair.sessions.attempts import AttemptRunner, RetryControl
 from comfreystair.sessions.execution import StatementExecutor
@@ -137,6 +133,10 @@
             self._state.evacuations = Evacuations(
                 settings.zones, settings.evacuation_seconds
             )
+        self._state.cold_bounds = settings.cold_bounds
+        self._log_cold = cold_targets.build_change_logger(
+            self._state, self._log
+        )
         self._dial = _bound_silence(build_dialer(instance.address))
         era = self._state.store_era
         era.add_listener(self._log_era)
@@ -183,7 +183,12 @@
             self._peers,
             self._log,
         )
-        self._keeper = TokenKeeper(self._state, len(settings.zones))
+        zones = tuple(settings.zones)
+        self._keeper = TokenKeeper(
+            self._state,
+            len(zones),
+            cold_targets.build_limit_finder(self._state, zones),
+        )
         self._duty = KeeperElection(
             self._state,
             store,
@@ -221,12 +226,17 @@
             self._log,
         )
         self._lost_logs = LostLogSettler(self._state, store, probes, self._log)
-        self._admission = AdmissionReport(self._log)
+        self._counters = Counters()
+        self._admission_report = AdmissionReport(self._log)
         self._board = PoolManager(
             instance.zone,
             self._open,
             self._may_send,
-            self._find_semaphore_builder(),
+            find_semaphore_builder(
+                settings.overload.has_priority_admission,
+                self._admission_report,
+            ),
+            cold_targets.build_end_recorder(self._state),
         )
         self._placement = TargetSelector(
             self._state,
@@ -236,9 +246,17 @@
             PositionSampler(self._state, probes).request,
         )
         self._book = GatewaySelector(self._state, self._peers)
-        self._local = LocalExecutor(self._board, self._log)
         self._retry_budget = RetryBudget(read_clock())
-        self._counters = Counters()
+        self._rate_limiter = RateLimiter(
+            self._state, self._peers, zones, self._log
+        )
+        self._local = LocalExecutor(
+            self._board,
+            self._log,
+            cold_targets.build_permit_renewer(
+                self._state, self._rate_limiter, zones, self._counters
+            ),
+        )
         self._callers = 0
         self._most_callers = find_most_callers(settings.limits.descriptors)
         self._desk = self._build_desk()
@@ -292,15 +310,7 @@
             'reload', is_taken=True, is_changed=read != self._settings
         )
 
-    def _find_semaphore_builder(self) -> BuildSemaphore:
-        if not self._settings.overload.has_priority_admission:
-            return PrioritySemaphore
-        return functools.partial(AdmissionSemaphore, report=self._admission)
-
     def _build_desk(self) -> SessionManager:
-        admission = RateLimiter(
-            self._state, self._peers, tuple(self._settings.zones), self._log
-        )
         relay = GatewayClient(
             self._state.own, self._book, self._local, self._peers, self._log
         )
@@ -314,7 +324,7 @@
         parts = (self._state, self._placement, attempts)
         return SessionManager(
             self._state,
-            admission,
+            self._rate_limiter,
             StatementExecutor(*parts, self._log),
             TransactionManager(*parts, relay),
             self._pulse.refresh_now,
@@ -372,6 +382,7 @@
         return await self._open(entry, _PROBE_NAME, seconds)
 
     async def _update_board(self) -> None:
+        self._log_cold()
         await self._board.update(
             self._state.targets.values(),
             self._book.find_connection_limit,
@@ -428,7 +439,9 @@
             'retries_withheld_total': float(self._retry_budget.withheld),
             **self._board.list_gauges(),
         }
-        return _OK, self._counters.format(gauges) + self._admission.format()
+        return _OK, self._counters.format(
+            gauges
+        ) + self._admission_report.format()
 
     async def _shut_down(self, number: int) -> None:
         seconds = self._settings.shutdown_seconds
--- a/comfreystair/manifest/serving.py
+++ b/comfreystair/manifest/serving.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 from typing import Final, NamedTuple
 
+from comfreystair.controllers.places.cold_targets import ColdStart
 
 # Priority of routes and organisations that name none; 0 goes first.
 DEFAULT_PRIORITY: Final = 1
@@ -68,6 +69,8 @@
     :param sync_replicas: how many replicas must have received a commit before
         it is acknowledged, by group; groups without any may be missing.
     :param idle_seconds: how long a transaction may rest.
+    :param cold_starts: what targets can handle after their start, by group;
+        groups without a limit are missing.
     """
 
     version: int
@@ -77,6 +80,7 @@
     idle_seconds: float
     owners: dict[str, str]
     sync_replicas: dict[str, int]
+    cold_starts: dict[str, ColdStart]
 
     def find_priority(self, key: str) -> int:
         """Return the priority of the organisation that holds a key."""
@@ -96,6 +100,7 @@
     connections: dict[str, int],
     idle_seconds: float,
     sync_replicas: dict[str, int] | None = None,
+    cold_starts: dict[str, ColdStart] | None = None,
 ) -> ServingPlan:
     """Index routes by database and keys by their organisation."""
     listed = tuple(clients)
@@ -107,6 +112,7 @@
         idle_seconds,
         {key: client.name for client in listed for key in client.keys},
         sync_replicas or {},
+        cold_starts or {},
     )
 
 
--- a/comfreystair/observability/counters.py
+++ b/comfreystair/observability/counters.py
@@ -45,11 +45,16 @@
         """Start at zero."""
         self._counts: collections.Counter[str] = collections.Counter()
         self._times = Histogram()
+        self._held_back: collections.Counter[str] = collections.Counter()
 
     def count(self, outcome: str) -> None:
         """Count one statement."""
         self._counts[outcome] += 1
 
+    def count_held_back(self, outcome: str) -> None:
+        """Count one request that got no token of a cold target at once."""
+        self._held_back[outcome] += 1
+
     def time(self, seconds: float) -> None:
         """Count one success in the histogram."""
         self._times.add(seconds)
@@ -60,6 +65,10 @@
             f'comfreystair_statements_total{{outcome="{name}"}} {count}'
             for name, count in sorted(self._counts.items())
         ]
+        lines.extend(
+            f'comfreystair_cold_held_back_total{{outcome="{name}"}} {count}'
+            for name, count in sorted(self._held_back.items())
+        )
         lines.extend(self._times.list_lines('comfreystair_statement_seconds'))
         lines.extend(
             f'comfreystair_{name} {level:.6g}' for name, level in gauges.items()
--- a/comfreystair/pooling/local_execution.py
+++ b/comfreystair/pooling/local_execution.py
@@ -33,6 +33,12 @@
     apply_session_values,
     ensure_prepared,
 )
+from comfreystair.pooling.tokens import (
+    Permit,
+    RenewPermit,
+    TokenRequest,
+    permit_always,
+)
 from comfreystair.sessions.statements import (
     Answer,
     Failure,
@@ -50,6 +56,9 @@
 # Bound on a rollback, in seconds; without an answer the connection is closed.
 _ROLLBACK_TIMEOUT_SECONDS: Final = 0.3
 _MIN_TIMEOUT_SECONDS: Final = 0.01
+# Share of a request's time that it may wait for a cold target's token. The rest
+# is for running it.
+_MAX_TOKEN_WAIT_SHARE: Final = 0.5
 _UNKNOWN_TARGET: Final = 'target is unknown to this instance'
 _EVACUATED: Final = 'zone of the target is evacuated'
 
@@ -57,7 +66,8 @@
 class DeliveryFailure(enum.Enum):
     """Why the target gave no answer.
 
-    ``full``: no concurrency slot or connection was free in time. ``refused``:
+    ``full``: no concurrency slot, connection or token was free in time; with a
+    token missing, the answer says when to retry. ``refused``:
     the target refused a connection. ``lost``: the target did not answer,
     rejected the connection as meant for another target, or the transaction
     can't continue. ``away``: the gateway, the instance that has the
@@ -119,6 +129,10 @@
     retry_seconds: float = 0
 
 
+# Obtains permission to send a request; returns the outcome if there is none.
+_Admit = Callable[[], Awaitable[Outcome | None]]
+# The target accepts statements on the connection, or has not been asked.
+_KEPT: Final = frozenset((DeliveryFailure.none, DeliveryFailure.full))
 _NO_ANSWER: Final = build_failed_answer(Failure.overloaded, 'not run')
 
 
@@ -143,13 +157,20 @@
 class LocalExecutor:
     """Runs requests on connections that this instance holds."""
 
-    def __init__(self, pools: PoolManager, log: DecisionLog) -> None:
+    def __init__(
+        self,
+        pools: PoolManager,
+        log: DecisionLog,
+        renew_permit: RenewPermit = permit_always,
+    ) -> None:
         """Initialize with no open transaction.
 
         :param pools: connection pools of the targets.
+        :param renew_permit: permits begins and statements to be sent.
         """
         self._pools = pools
         self._log = log
+        self._renew_permit = renew_permit
         self._transactions: dict[str, _OpenTransaction] = {}
         self._opening: set[str] = set()
         self._running = 0
@@ -177,7 +198,8 @@
         deadline = read_clock() + request.timeout_seconds
         self._running += 1
         try:
-            return await _run_with_semaphore(pool, request, deadline)
+            admit = self._build_admission(pool, request, deadline)
+            return await _run_with_semaphore(pool, request, deadline, admit)
         finally:
             self._running -= 1
 
@@ -330,18 +352,20 @@
         is_read_only: bool,
     ) -> Outcome:
         deadline = read_clock() + request.timeout_seconds
-        acquired = await _acquire_connection(
-            pool, request, request.timeout_seconds
+        admit = self._build_admission(pool, request, deadline)
+        acquired = await admit() or await _acquire_connection(
+            pool, request, find_remaining_seconds(deadline)
         )
         if isinstance(acquired, Outcome):
             return acquired
         is_kept = False
         try:
-            if not pool.may_send:
-                return build_failed_outcome(DeliveryFailure.full, _EVACUATED)
             await apply_session_values(
                 acquired, request.values, find_remaining_seconds(deadline)
             )
+            rejection = await admit()
+            if rejection is not None:
+                return rejection
             answer = await acquired.connection.begin(
                 is_read_only, request.floor, find_remaining_seconds(deadline)
             )
@@ -366,7 +390,13 @@
         semaphore = transaction.pool.semaphore
         deadline = read_clock() + request.timeout_seconds
         terms = _build_terms(request)._replace(is_pinned=True)
-        while transaction.pool.may_send:
+        while True:
+            admit = self._build_admission(
+                transaction.pool, request, deadline, is_pinned=True
+            )
+            rejection = await admit()
+            if rejection is not None:
+                return rejection
             remaining = find_remaining_seconds(deadline)
             try:
                 await semaphore.acquire(
@@ -382,20 +412,56 @@
                 DeliveryFailure.lost, 'cancelled', is_sent=True
             )
             try:
-                outcome = await _send(transaction.pooled, request, deadline)
+                outcome = await _send(
+                    transaction.pooled, request, deadline, admit
+                )
             finally:
                 # The transaction keeps its connection, so none becomes free.
                 await semaphore.release(
                     '',
                     read_clock() - began_at,
-                    _is_rejected(outcome),
+                    _find_ending(outcome) is Ending.rejected,
                     terms,
                     _find_ending(outcome),
                 )
             if not _should_resend(outcome, deadline):
                 return outcome
             await curio.sleep(_RESEND_DELAY_SECONDS)
-        return build_failed_outcome(DeliveryFailure.lost, _EVACUATED)
+
+    def _build_admission(
+        self,
+        pool: TargetPool,
+        request: StatementRequest,
+        deadline: float,
+        is_pinned: bool = False,
+    ) -> _Admit:
+        """Return a function that obtains permission to send a request once.
+
+        It is called first of all, so that a request without a token takes no
+        slot and opens no connection, and again just before the request is
+        sent. The second call does nothing while the first one's token is valid.
+
+        :param is_pinned: the request is a statement of an open transaction.
+        """
+        wanted = TokenRequest(
+            pool.entry.ident,
+            is_pinned or request.floor is None,
+            _TRANSACTION_PRIORITY if is_pinned else request.priority,
+            0,
+        )
+        permit = Permit(is_given=False)
+
+        async def admit() -> Outcome | None:
+            nonlocal permit
+            seconds = find_remaining_seconds(deadline) * _MAX_TOKEN_WAIT_SHARE
+            permit = await self._renew_permit(
+                wanted._replace(seconds=seconds), permit
+            )
+            if not pool.may_send:
+                return build_failed_outcome(DeliveryFailure.full, _EVACUATED)
+            return None if permit.is_given else _build_rejection(permit)
+
+        return admit
 
     async def _discard_transaction(
         self, handle: str, transaction: _OpenTransaction
@@ -405,11 +471,14 @@
 
 
 async def _run_with_semaphore(
-    pool: TargetPool, request: StatementRequest, deadline: float
+    pool: TargetPool, request: StatementRequest, deadline: float, admit: _Admit
 ) -> Outcome:
     async def run() -> Outcome:
-        return await _run_with_connection(pool, request, deadline)
+        return await _run_with_connection(pool, request, deadline, admit)
 
+    rejection = await admit()
+    if rejection is not None:
+        return rejection
     return await _run_with_slot(pool, request, run)
 
 
@@ -440,7 +509,7 @@
         await pool.semaphore.release(
             request.organisation,
             elapsed,
-            _is_rejected(outcome),
+            _find_ending(outcome) is Ending.rejected,
             terms,
             _find_ending(outcome),
         )
@@ -448,25 +517,23 @@
 
 
 async def _run_with_connection(
-    pool: TargetPool, request: StatementRequest, deadline: float
+    pool: TargetPool, request: StatementRequest, deadline: float, admit: _Admit
 ) -> Outcome:
     acquired = await _acquire_connection(
         pool, request, find_remaining_seconds(deadline)
     )
     if isinstance(acquired, Outcome):
         return acquired
-    is_answered = False
+    is_kept = False
     try:
-        if not pool.may_send:
-            return build_failed_outcome(DeliveryFailure.full, _EVACUATED)
-        outcome = await _send(acquired, request, deadline)
-        is_answered = outcome.delivery_failure is DeliveryFailure.none
+        outcome = await _send(acquired, request, deadline, admit)
+        is_kept = outcome.delivery_failure in _KEPT
     finally:
-        if is_answered:
+        if is_kept:
             await pool.release(acquired)
         else:
             await pool.discard(acquired)
-    if not is_answered:
+    if not is_kept:
         await pool.close_idle()
     return outcome
 
@@ -512,19 +579,18 @@
 
 
 async def _send(
-    pooled: PooledConnection, request: StatementRequest, deadline: float
+    pooled: PooledConnection,
+    request: StatementRequest,
+    deadline: float,
+    admit: _Admit,
 ) -> Outcome:
-    """Apply the session's state to a connection and run the statement."""
+    """Set a connection up for the session and run the statement."""
     is_sent = False
-    name = ''
     try:
-        await apply_session_values(
-            pooled, request.values, find_remaining_seconds(deadline)
-        )
-        if request.prepared is not None:
-            name = await ensure_prepared(
-                pooled, request.prepared, find_remaining_seconds(deadline)
-            )
+        name = await _set_up(pooled, request, deadline)
+        rejection = await admit()
+        if rejection is not None:
+            return rejection
         is_sent = True
         answer = await pooled.connection.forward(
             request.statement,
@@ -561,23 +627,50 @@
 
 def _find_ending(outcome: Outcome) -> Ending:
     """Return how the use of a slot ended."""
-    if _is_rejected(outcome):
-        return Ending.rejected
     if outcome.delivery_failure is DeliveryFailure.none:
-        return Ending.answered
+        is_rejected = outcome.answer.failure is Failure.overloaded
+        return Ending.rejected if is_rejected else Ending.answered
     return Ending.lost if outcome.is_sent else Ending.unsent
 
 
-def _is_rejected(outcome: Outcome) -> bool:
-    """Tell whether the target rejected a statement because of overload."""
-    is_answered = outcome.delivery_failure is DeliveryFailure.none
-    return is_answered and outcome.answer.failure is Failure.overloaded
+async def _set_up(
+    pooled: PooledConnection, request: StatementRequest, deadline: float
+) -> str:
+    """Apply the session's state to a connection.
+
+    :returns: name of the prepared statement that the request executes, empty
+        for none.
+    :raises TargetLostError: the target did not confirm it.
+    """
+    await apply_session_values(
+        pooled, request.values, find_remaining_seconds(deadline)
+    )
+    if request.prepared is None:
+        return ''
+    return await ensure_prepared(
+        pooled, request.prepared, find_remaining_seconds(deadline)
+    )
+
+
+def _build_rejection(permit: Permit) -> Outcome:
+    """Return the outcome of a request that has no token of a cold target.
+
+    :param permit: tells when a token may be there.
+    """
+    answer = build_retry_answer('not run', permit.retry_seconds)
+    return Outcome(
+        answer._replace(failure=Failure.connection_limit),
+        DeliveryFailure.full,
+        reason='no token of a cold target',
+    )
 
 
 def _should_resend(outcome: Outcome, deadline: float) -> bool:
     """Tell whether a rejected statement may still run in its transaction."""
     is_late = read_clock() + _RESEND_DELAY_SECONDS >= deadline
-    return _is_rejected(outcome) and not (outcome.answer.is_aborted or is_late)
+    return _find_ending(outcome) is Ending.rejected and not (
+        outcome.answer.is_aborted or is_late
+    )
 
 
 def find_remaining_seconds(deadline: float) -> float:
--- a/comfreystair/pooling/manager.py
+++ b/comfreystair/pooling/manager.py
@@ -10,9 +10,11 @@
 )
 from comfreystair.pooling.pool import (
     MaySend,
+    OnEnd,
     OpenConnection,
     TargetPool,
     allow_all,
+    ignore_end,
 )
 from comfreystair.pooling.priority_semaphore import (
     BuildSemaphore,
@@ -34,6 +36,7 @@
         open_connection: OpenConnection,
         may_send: MaySend = allow_all,
         build_semaphore: BuildSemaphore = PrioritySemaphore,
+        on_end: OnEnd = ignore_end,
     ) -> None:
         """Initialize without targets; :meth:`update` adds them.
 
@@ -43,11 +46,14 @@
         :param may_send: tells whether requests may be sent to a target.
         :param build_semaphore: builds the limit on a target's running
             statements.
+        :param on_end: called when a connection to a target has ended or was
+            refused.
         """
         self._zone = zone
         self._may_send = may_send
         self._open_connection = open_connection
         self._build_semaphore = build_semaphore
+        self._on_end = on_end
         self._pools: dict[str, TargetPool] = {}
         self._health: dict[str, TargetHealth] = {}
         self._running_requests: collections.Counter[str] = collections.Counter()
@@ -154,6 +160,7 @@
                 self._open_connection,
                 self._may_send,
                 self._build_semaphore,
+                self._on_end,
             )
             self._pools[entry.ident] = pool
             self._health[entry.ident] = TargetHealth()
--- a/comfreystair/pooling/pool.py
+++ b/comfreystair/pooling/pool.py
@@ -20,6 +20,7 @@
 from comfreystair.pooling.exceptions import (
     ConnectionUnavailableError,
     PoolError,
+    TargetEndedError,
     TargetLostError,
     TargetRefusedError,
 )
@@ -52,6 +53,14 @@
     return True
 
 
+# Called when a connection to a target has ended or was refused.
+OnEnd = Callable[[TargetEntry], None]
+
+
+def ignore_end(_entry: TargetEntry) -> None:
+    """Do nothing when a connection ends."""
+
+
 class PooledConnection:
     """A connection with the session values and statements it has at present.
 
@@ -86,6 +95,7 @@
         open_connection: OpenConnection,
         may_send: MaySend = allow_all,
         build_semaphore: BuildSemaphore = PrioritySemaphore,
+        on_end: OnEnd = ignore_end,
     ) -> None:
         """Initialize without connections.
 
@@ -93,10 +103,12 @@
         :param open_connection: opens a connection to a target for an
             organisation, within a number of seconds.
         :param build_semaphore: builds the limit on running statements.
+        :param on_end: called when a connection has ended or was refused.
         """
         self._entry = entry
         self._may_send = may_send
         self._open_connection = open_connection
+        self._on_end = on_end
         self._checkout = CheckoutController(limit)
         self._idle: dict[IdleConnection, PooledConnection] = {}
         self._queue = WaitQueue()
@@ -218,6 +230,7 @@
                 'event=connection_replaced target={} reason="input or end"',
                 self._entry.ident,
             )
+            self._on_end(self._entry)
             await pooled.connection.close()
             decision = CheckoutDecision(CheckoutAction.open)
         return await self._open_new(decision, organisation, seconds)
@@ -239,6 +252,8 @@
 
     async def discard(self, pooled: PooledConnection) -> None:
         """Close a connection whose state is unknown."""
+        if pooled.connection.has_input:
+            self._on_end(self._entry)
         self._checkout.discard(pooled.organisation)
         await pooled.connection.close()
         await self._assign_connections('')
@@ -313,6 +328,9 @@
             if decision.idle_connection is not None:
                 await self._close_idle_connection(decision.idle_connection)
             opened = await self._open(organisation, started_at, seconds)
+        except TargetEndedError:
+            self._on_end(self._entry)
+            raise
         finally:
             if opened is None:
                 self._checkout.discard(organisation)
--- a/comfreystair/pooling/priority_semaphore.py
+++ b/comfreystair/pooling/priority_semaphore.py
@@ -4,6 +4,7 @@
 deployments with priority admission, :class:`PrioritySemaphore` all others.
 """
 
+import functools
 import random
 from collections.abc import Callable
 from typing import Final
@@ -285,3 +286,15 @@
 Semaphore = PrioritySemaphore | AdmissionSemaphore
 # Returns the semaphore of a target from its slots and its id.
 BuildSemaphore = Callable[[int, str], Semaphore]
+
+
+def find_semaphore_builder(
+    has_priority_admission: bool, report: AdmissionReport
+) -> BuildSemaphore:
+    """Return what builds the limit on the statements at a target.
+
+    :param report: receives the decisions of priority admission.
+    """
+    if has_priority_admission:
+        return functools.partial(AdmissionSemaphore, report=report)
+    return PrioritySemaphore
