Divide connections only where a zone has eight instances for each gateway

With four, the shares and the retry budget also took effect in the small earlier deployments, with 4.25 to 7 instances for each gateway, where they were not measured. Those are served as before now.

--- a/comfreystair/controllers/connections/shares.py
+++ b/comfreystair/controllers/connections/shares.py
@@ -17,8 +17,9 @@
 )
 
 # Shares apply where the instances of a zone outnumber the gateways of a target
-# by this factor. Fewer instances can't open too many connections together.
-_MIN_INSTANCES_PER_GATEWAY: Final = 4
+# by this factor. With fewer, the bound on what they open together is not worth
+# the wait for a handover of shares at each change of the list.
+_MIN_INSTANCES_PER_GATEWAY: Final = 8
 # Connections that a gateway keeps, if the limit allows it. With 40, about a
 # tenth of the statements of 43 organisations open one.
 _GATEWAY_CONNECTIONS: Final = 41
