--- a/comfreystair/conf/entry.py
+++ b/comfreystair/conf/entry.py
@@ -83,9 +83,12 @@
     """What happens when callers ask for more than targets can do.
 
     :param contracts: names of what the platform expects of its instances.
+    :param has_connection_shares: in large zones, divide the connections of
+        targets among all instances, and bound retries by a budget.
     """
 
     contracts: tuple[str, ...] | None = ()
+    has_connection_shares: bool = False
 
     @property
     def has_priority_admission(self) -> bool:
--- a/comfreystair/entry.py
+++ b/comfreystair/entry.py
@@ -245,7 +245,11 @@
             lambda: self._pulse.is_reached,
             PositionSampler(self._state, probes).request,
         )
-        self._book = GatewaySelector(self._state, self._peers)
+        self._book = GatewaySelector(
+            self._state,
+            self._peers,
+            settings.overload.has_connection_shares,
+        )
         self._retry_budget = RetryBudget(read_clock())
         self._rate_limiter = RateLimiter(
             self._state, self._peers, zones, self._log
--- a/comfreystair/gateways/selector.py
+++ b/comfreystair/gateways/selector.py
@@ -41,15 +41,18 @@
 class GatewaySelector:
     """Select gateways from the list of instances."""
 
-    def __init__(self, state: FleetState, peers: PeerClients) -> None:
+    def __init__(
+        self, state: FleetState, peers: PeerClients, has_shares: bool = True
+    ) -> None:
         """Start with every listed instance regarded as available.
 
         :param state: provides the instances and the connection limits.
         :param peers: tells which instances leave calls unanswered.
+        :param has_shares: divide the connections of targets in large zones.
         """
         self._state = state
         self._peers = peers
-        self._shares = ConnectionShares(state)
+        self._shares = ConnectionShares(state, has_shares)
         # By target and zone: a target that is registered again may have moved.
         self._rankings: dict[tuple[str, str], _Ranking] = {}
         self._unavailable: dict[str, float] = {}
--- a/comfreystair/gateways/shares.py
+++ b/comfreystair/gateways/shares.py
@@ -57,12 +57,14 @@
 class ConnectionShares:
     """Shares of the targets' connections, with pending increases."""
 
-    def __init__(self, state: FleetState) -> None:
+    def __init__(self, state: FleetState, is_enabled: bool) -> None:
         """Start without shares in effect.
 
         :param state: provides the instances and the connection limits.
+        :param is_enabled: otherwise no target's connections are divided.
         """
         self._state = state
+        self._is_enabled = is_enabled
         self._placements: dict[str, _CachedPlacement] = {}
         self._handovers: dict[str, ShareHandover] = {}
 
@@ -83,6 +85,8 @@
         key = (state.instances, self.find_fleet_limit(entry), state.is_draining)
         if known is None or known.source is not key[0] or known[1:3] != key[1:]:
             placement = _build_placement(state, entry.ident, ranked, key[1])
+            if not self._is_enabled:
+                placement = placement._replace(is_divided=False)
             known = _CachedPlacement(*key, placement)
             self._placements[entry.ident] = known
         return known.placement
--- a/tests/gateways/test_unreachable_gateways.py
+++ b/tests/gateways/test_unreachable_gateways.py
@@ -5,6 +5,7 @@
 import curio
 
 from comfreystair.controllers.gateways import compute_connection_limit
+from comfreystair.gateways import GatewaySelector
 from comfreystair.pooling.local_execution import DeliveryFailure
 from tests.gateways.fleet import ENTRY, FakeTarget, Fleet, build_request
 
@@ -93,6 +94,16 @@
             self.selectors[name].mark_unavailable(self.fleet.records[asked[-1]])
         self.assertGreater(len(set(asked)), 3)
 
+    def test_shares_can_be_switched_off(self) -> None:
+        """Guards against new limits where the settings do not ask for them."""
+        self.build(36)
+        selector = GatewaySelector(
+            self.fleet.states['entry-0'], self.fleet.peers, has_shares=False
+        )
+        limit = selector.find_connection_limit(ENTRY)
+        self.assertEqual(limit, compute_connection_limit(CONNECTIONS))
+        self.assertFalse(selector.has_shares(ENTRY))
+
     def test_small_fleet_is_served_as_before(self) -> None:
         """Guards against new limits and a backoff in small fleets."""
         self.build(9)
