Compute no connection shares where they are switched off

Found in a last reading: with the setting off, its default, each change of the list of instances still ranked the whole fleet for each target and threw the result away. The division is now computed only where it is in effect. find_priority looks its organisation up with find_client, as the others do.

Behaviour is unchanged.

--- a/comfreystair/gateways/shares.py
+++ b/comfreystair/gateways/shares.py
@@ -84,9 +84,7 @@
         known = self._placements.get(entry.ident)
         key = (state.instances, self.find_fleet_limit(entry), state.is_draining)
         if known is None or known.source is not key[0] or known[1:3] != key[1:]:
-            placement = _build_placement(state, entry.ident, ranked, key[1])
-            if not self._is_enabled:
-                placement = placement._replace(is_divided=False)
+            placement = self._build_placement(entry.ident, ranked, key[1])
             known = _CachedPlacement(*key, placement)
             self._placements[entry.ident] = known
         return known.placement
@@ -107,21 +105,31 @@
             read_clock(),
         )
 
+    def _build_placement(
+        self, ident: str, ranked: list[str], connections: int
+    ) -> Placement:
+        """Compute a placement from the list of instances."""
+        state = self._state
+        gateways = count_gateways(connections)
+        listed = TargetFleet(
+            connections, gateways, len(ranked), len(state.instances)
+        )
+        if self._is_enabled and is_divided(listed):
+            return _divide(state, ident, ranked, listed)
+        return Placement(listed, is_divided=False)
 
-def _build_placement(
-    state: FleetState, ident: str, ranked: list[str], connections: int
+
+def _divide(
+    state: FleetState, ident: str, ranked: list[str], listed: TargetFleet
 ) -> Placement:
-    """Compute a placement from the list of instances.
+    """Compute the placement for divided connections.
 
     Instances that are shutting down have no share: they accept no statements
     from others, and their connections end within the handover.
+
+    :param listed: the fleet with these instances.
     """
-    gateways = count_gateways(connections)
-    listed = TargetFleet(
-        connections, gateways, len(ranked), len(state.instances)
-    )
-    if not is_divided(listed):
-        return Placement(listed, is_divided=False)
+    connections, gateways = listed.connections, listed.gateways
     staying = _list_staying(state)
     zone = [name for name in ranked if name in staying]
     fleet = TargetFleet(connections, gateways, len(zone), len(staying))
--- a/comfreystair/manifest/serving.py
+++ b/comfreystair/manifest/serving.py
@@ -84,7 +84,7 @@
 
     def find_priority(self, key: str) -> int:
         """Return the priority of the organisation that holds a key."""
-        client = self.clients.get(self.owners.get(key, ''))
+        client = find_client(self, key)
         return client.priority if client else DEFAULT_PRIORITY
 
 
