--- a/review/lib-2/harness.py
+++ b/review/lib-2/harness.py
@@ -247,6 +247,9 @@
         # Its process has crashed: connections are refused.
         self.down_since = None
         self.server = None
+        # It can't reach the store; the instances and the others reach it.
+        self.is_cut_from_store = False
+        self.written_at = now()
         # It receives nothing from the primary.
         self.is_deaf = False
         # How long STATUS and STEPDOWN wait for a slot.
@@ -351,15 +354,25 @@
         """Write the entries of the targets until cancelled."""
         while True:
             for target in self.targets.values():
-                silent = target.down_since and now() - target.down_since
-                if target.is_up:
-                    self.beat(target)
-                elif silent and silent > 3 * BEAT_SECONDS:
-                    self.store.remove(f'servers/{target.ident}')
+                self.beat(target)
             await asyncio.sleep(BEAT_SECONDS)
 
+    async def expire(self):
+        """Remove the entries of silent targets until cancelled."""
+        while True:
+            await asyncio.sleep(0.02)
+            for target in self.targets.values():
+                key = f'servers/{target.ident}'
+                is_silent = now() - target.written_at > 3 * BEAT_SECONDS
+                if is_silent and key in self.store.items:
+                    self.store.remove(key)
+                    self.record.write('entry_removed', target=target.ident)
+
     def beat(self, target):
-        """Write a target's entry."""
+        """Write a target's entry, if it runs and reaches the store."""
+        if not target.is_up or target.is_cut_from_store:
+            return
+        target.written_at = now()
         target.seq += 1
         self.store.put_json(
             f'servers/{target.ident}',
@@ -805,6 +818,7 @@
             self.store.expire,
             self.group.replicate,
             self.group.register,
+            self.group.expire,
         ):
             self.spawn(call())
         await asyncio.sleep(0.1)
