Review case 6: an acknowledged commit is lost with its unlisted replica

Cause: a replica that is not listed is forgotten as a holder of the log although it may still receive commits.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,8 +1,7 @@
-"""A leader that stood still promotes after another one has taken over."""
+"""A commit that only an unlisted replica has received is lost."""
 
 import asyncio
 import pathlib
-import signal
 import sys
 
 FOLDER = pathlib.Path(__file__).resolve().parent
@@ -10,18 +9,19 @@
 
 import harness  # noqa: E402
 
-# Largest length of a freeze in the site files, in seconds.
-FREEZE_SECONDS = 4.0
-# The backends are back this long after the leader has renewed its lease, which
-# lasts 5 s, in seconds.
-BACK_SECONDS = 3.55
-# How long STEPDOWN waits for a slot of a backend that has other work, in
-# seconds: the longest work of one statement on the sheet.
-STEP_DOWN_SECONDS = 0.17
+# One replica is cut off from the store this often, each time for the length
+# that the bench's kinds give (5 s), with this pause between, in seconds.
+CUTS = 2
+CUT_SECONDS = 5.0
+CUT_PAUSE_SECONDS = 0.2
+# From the start of the cuts: the other replica receives nothing from then on,
+# and then the primary crashes, in seconds.
+DEAF_AT_SECONDS = 8.9
+CRASH_AT_SECONDS = 9.2
 
 
-async def work(site, instance):
-    """Send writes to an instance until the end."""
+async def write(site, instance, acknowledged):
+    """Send writes to an instance until the end; keep what is acknowledged."""
     number = 0
     while True:
         client = harness.Client(site, instance, 'strict', 'key-blue')
@@ -30,7 +30,10 @@
             lines = ['']
             while lines:
                 number += 1
-                _ident, lines = await client.ask(f'WRITE a{number} {number}')
+                item = f'{instance.name}-{number}'
+                _ident, lines = await client.ask(f'WRITE {item} {number}')
+                if lines and lines[0].startswith('COMPLETE'):
+                    acknowledged[item] = (harness.now(), str(number))
                 await asyncio.sleep(0.05)
         except (OSError, asyncio.IncompleteReadError):
             await asyncio.sleep(0.1)
@@ -38,86 +41,55 @@
             client.close()
 
 
-async def wait_for(check, seconds):
-    """Wait until a check gives something; return it."""
-    give_up_at = harness.now() + seconds
-    while harness.now() < give_up_at:
-        found = check()
-        if found:
-            return found
-        await asyncio.sleep(0.005)
-    raise harness.CouldNotRunError('what was waited for did not happen')
-
-
-def find_leader(site):
-    """Return who has announced a change of the primary, if anyone has."""
-    record = site.store.read_json(f'comfreystair/groups/{harness.SERVICE}')
-    holder = site.store.read_json(f'comfreystair/duties/{harness.SERVICE}')
-    if not (record and record['is_changing'] and holder):
-        return None
-    return next(one for one in site.instances if one.name == holder['name'])
-
-
-async def trouble(site):
-    """Crash the backends; stop the leader when they are back."""
-    targets = site.group.targets
-    for target in targets.values():
-        site.group.crash(target)
-    leader = await wait_for(lambda: find_leader(site), 15)
-    site.record.write('leader', name=leader.name)
-    lease = site.store.items[f'comfreystair/duties/{harness.SERVICE}']
-    renewed = asyncio.Event()
-
-    def on_renewal(ident):
-        if ident == lease['LeaseId']:
-            renewed.set()
-
-    site.store.on_renewal = on_renewal
-    await asyncio.wait_for(renewed.wait(), 5)
-    renewed_at = harness.now()
-    site.record.write('lease_renewed')
-    await asyncio.sleep(BACK_SECONDS)
-    asked = asyncio.Event()
-
-    def on_step_down(_target, caller):
-        if caller == leader.address:
-            asked.set()
-
-    site.group.on_step_down = on_step_down
-    for target in targets.values():
-        target.step_down_seconds = STEP_DOWN_SECONDS
-        await site.group.start(target)
-    await asyncio.wait_for(asked.wait(), 3)
-    leader.signal(signal.SIGSTOP)
-    stopped_at = harness.now()
-    site.record.write(
-        'leader_stopped',
-        name=leader.name,
-        since_renewal=f'{stopped_at - renewed_at:.3f}',
-    )
-    await asyncio.sleep(stopped_at + FREEZE_SECONDS - harness.now())
-    leader.signal(signal.SIGCONT)
-    site.record.write('leader_continued', name=leader.name)
+async def cut(site, target):
+    """Cut a target off from the store, again and again."""
+    for number in range(CUTS):
+        target.is_cut_from_store = True
+        site.record.write('cut_from_store', target=target.ident)
+        await asyncio.sleep(CUT_SECONDS)
+        target.is_cut_from_store = False
+        site.record.write('cut_over', target=target.ident, number=number + 1)
+        await asyncio.sleep(CUT_PAUSE_SECONDS)
 
 
 async def case(site):
     """Return why the rule was broken, or nothing."""
+    acknowledged = {}
     await site.start(harness.build_plan(sync_replicas=1))
     for instance in site.instances:
-        site.spawn(work(site, instance))
-    await asyncio.sleep(8)
+        site.spawn(write(site, instance, acknowledged))
+    await asyncio.sleep(7)
+    targets = site.group.targets
+    written_at = targets['i-two'].written_at
+    while targets['i-two'].written_at == written_at:
+        await asyncio.sleep(0.01)
+    await asyncio.sleep(0.1)
+    began_at = harness.now()
+    if harness.has_trouble:
+        site.spawn(cut(site, targets['i-two']))
+        await asyncio.sleep(began_at + DEAF_AT_SECONDS - harness.now())
+        targets['i-three'].is_deaf = True
+        site.record.write('receives_nothing', target='i-three')
+    await asyncio.sleep(began_at + CRASH_AT_SECONDS - harness.now())
     if harness.has_trouble:
-        await trouble(site)
-    await asyncio.sleep(6)
-    highest = 0
-    for at, holder, token, target in site.platform.promotions:
-        if token < highest:
-            return (
-                f'{holder} sent the token {token} at {at:.3f} to promote '
-                f'{target}, after the platform had seen {highest}'
-            )
-        highest = max(highest, token)
-    return ''
+        site.group.crash(targets['i-one'])
+    await asyncio.sleep(5)
+    primary = site.group.primary
+    if primary.ident == 'i-one' and harness.has_trouble:
+        return ''
+    kept = {pair for entry in primary.log for pair in entry.writes}
+    lost = [
+        (at, item)
+        for item, (at, data) in acknowledged.items()
+        if at < harness.now() - 1 and (item, data) not in kept
+    ]
+    if not lost:
+        return ''
+    return (
+        f'{len(lost)} acknowledged commits, from {lost[0][0]:.3f} to '
+        f'{lost[-1][0]:.3f}, are not in the log of {primary.ident}, which was '
+        f'promoted'
+    )
 
 
 if __name__ == '__main__':
