--- a/review/lib-2/harness.py
+++ b/review/lib-2/harness.py
@@ -250,6 +250,9 @@
         # It can't reach the store; the instances and the others reach it.
         self.is_cut_from_store = False
         self.written_at = now()
+        # How long a commit takes to reach it, in seconds.
+        self.receive_seconds = 0.0
+        self.up_since = 0.0
         # It receives nothing from the primary.
         self.is_deaf = False
         # How long STATUS and STEPDOWN wait for a slot.
@@ -322,6 +325,7 @@
             limit=2**21,
         )
         target.down_since = None
+        target.up_since = now()
         primary = self.primary
         if target.is_primary and primary is not target:
             target.is_primary = False
@@ -347,8 +351,19 @@
                 if target is primary or not target.is_up or target.is_deaf:
                     continue
                 if is_behind and not target.is_primary:
-                    target.term = primary.term
-                    target.log = list(primary.log)
+                    self._receive(target, primary)
+
+    def _receive(self, target, primary):
+        """Give a replica what has had the time to reach it."""
+        before = now() - target.receive_seconds
+        if primary.up_since > before:
+            return
+        target.term = primary.term
+        target.log = [
+            entry
+            for entry in primary.log
+            if entry.at <= before or entry in target.log
+        ]
 
     async def register(self):
         """Write the entries of the targets until cancelled."""
