--- a/review/lib-2/harness.py
+++ b/review/lib-2/harness.py
@@ -69,6 +69,9 @@
         """Write one line."""
         told = ' '.join(f'{name}={text}' for name, text in fields.items())
         self._file.write(f'{now():8.3f} {what} {told}\n')
+
+    def flush(self):
+        """Write the lines out."""
         self._file.flush()
 
 
@@ -874,6 +877,7 @@
 
     def stop(self):
         """End every process that was started."""
+        self.record.flush()
         for instance in self.instances:
             if instance.process is not None:
                 instance.process.kill()
