--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -9,7 +9,7 @@
 
 if sys.version_info < (3, 11):
     sys.exit('Python 3.11 is needed')
-files = [*pathlib.Path('review/lib-2').glob('*.py')]
+files = [pathlib.Path('review/harness.py')]
 for folder in ('6', '7', '8', '9', '10'):
     files += pathlib.Path('review', folder).glob('*.py')
 for path in files:
--- a/review/lib-2/harness.py
+++ b/review/harness.py
@@ -23,7 +23,7 @@
 import tomllib
 import urllib.parse
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROOT = pathlib.Path(__file__).resolve().parents[1]
 SERVICE = 'permits-db'
 ZONES = ('lima-cercado', 'lima-miraflores', 'lima-norte')
 TARGETS = ('i-one', 'i-three', 'i-two')
